--- a/sillspring/drill.py
+++ b/claycross/adapter.py
@@ -168,12 +168,12 @@
         try:
             batch = json.loads(line)
         except ValueError as err:
-            print(f"sillspring: a line is not JSON: {err}", file=sys.stderr)
+            print(f"claycross: a line is not JSON: {err}", file=sys.stderr)
             return 2
         try:
             reply = adapter.answer(batch)
         except BadInput as err:
-            print(f"sillspring: {err}", file=sys.stderr)
+            print(f"claycross: {err}", file=sys.stderr)
             return 2
         sys.stdout.write(json.dumps(reply, separators=(",", ":")) + "\n")
         sys.stdout.flush()
--- a/sillspring/policy.py
+++ b/claycross/policy.py
@@ -1,6 +1,6 @@
-"""Every decision of sillspring, with its tables and constants.
+"""Every decision of claycross, with its tables and constants.
 
-The types that come in and go out are in interface.py (sillspring/interface.py). This module does no I/O,
+The types that come in and go out are in interface.py (claycross/interface.py). This module does no I/O,
 reads no clock and shares nothing between routers. Preble's E2, and what was added: docs/design.md.
 """
 
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from sillspring.interface import (
+from claycross.interface import (
     Arrival,
     Cancel,
     ClassSpec,
@@ -19,7 +19,7 @@
     StreamBegan,
     TimerDue,
 )
-from sillspring.policy import Router
+from claycross.policy import Router
 
 MS = 1_000_000
 SECOND = 1000 * MS
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -1,6 +1,6 @@
 """Defences, by symptom."""
 
-from sillspring.interface import Subscribe, TenantSpec
+from claycross.interface import Subscribe, TenantSpec
 from tests.desk import (
     MS,
     READERS,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -6,11 +6,11 @@
 import sys
 from statistics import median
 
-from sillspring import policy
+from claycross import policy
 from tests.desk import Desk
 
 ROOT = pathlib.Path(__file__).parent.parent
-POLICY = ROOT / "sillspring" / "policy.py"
+POLICY = ROOT / "claycross" / "policy.py"
 REPEAT = """
 from tests.desk import Desk, MS
 d = Desk(seed=7)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from sillspring.policy import rank
+from claycross.policy import rank
 from tests.desk import MS, READERS, SECOND, WRITERS, Desk, EngineList, LoadReport, entry, sends
 
 
@@ -43,7 +43,7 @@
 
 
 def _arrival(**fields):
-    from sillspring.interface import Arrival
+    from claycross.interface import Arrival
     return Arrival(0, "ask", SECOND, prompt=1000, **fields)
 
 
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -5,7 +5,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from sillspring.interface import (
+from claycross.interface import (
     Abandoned,
     Arrival,
     Cancel,
@@ -19,7 +19,7 @@
     StreamBegan,
     TimerDue,
 )
-from sillspring.policy import Router
+from claycross.policy import Router
 from tests.desk import MS, SECOND, entry
 from tests.desk import settings as site
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,6 +1,6 @@
 """The five rules, each by itself."""
 
-from sillspring.interface import Abandoned
+from claycross.interface import Abandoned
 from tests.desk import (
     MS,
     READERS,
