--- a/claycross/adapter.py
+++ b/claycross/adapter.py
@@ -9,8 +9,8 @@
 
 from . import interface as i
 from .policy import Router
+from .settings import Fields, read_report, read_settings
 
-Fields = dict[str, Any]
 LIST_KINDS = {"patch": "changes", "whole": "full", "stale_copy": "saved", "broken": "failed"}
 CONDITIONS = {"IN": "ready", "LAME": "draining", "OUT": "gone"}
 
@@ -19,48 +19,6 @@
     """The input can't be understood; the text says what is wrong."""
 
 
-def read_settings(raw: Fields) -> i.Settings:
-    """The settings that come with `Launch`, in our words."""
-    info, allowed, safety = raw["family-info"], raw["permissions"], raw["safety"]
-    aims = info.get("aim-us-per-1000-prompt-tokens", [])
-    paces = info.get("token-aim", [])
-    classes = {}
-    for n, c in enumerate(raw["categories"]):
-        classes[c["name"]] = i.ClassSpec(
-            name=c["name"], aim=int(c["slo"]), give_up=int(c["give-up"]), worth=float(c.get("importance", 1)),
-            late_worth=float(c.get("late-worth", 0)), effect=c.get("effect", "safe"),
-            group=c.get("group", "all"), key_ttl=int(c.get("key-ttl", 0)),
-            streaming=bool(c.get("streaming", False)),
-            aim_per_token=float(aims[n]) if n < len(aims) else 0.0,
-            token_aim=int(paces[n]) if n < len(paces) else 0)
-    kinds = raw["host-types"]
-    tenants = {t["name"]: i.TenantSpec(t["name"], float(t.get("quota-per-s", 0)), float(t.get("share", 0)))
-               for t in raw.get("tenants", [])}
-    return i.Settings(
-        classes=classes, roles=dict(zip(kinds, info["kind-role"], strict=False)),
-        memory={k: int(m) for k, m in zip(kinds, info.get("kv-tokens", []), strict=False)},
-        zone=raw.get("zone", ""), nodes=int(raw["balancers"]), me=int(raw.get("me", 0)),
-        tick=int(raw["tick"]),
-        tenants=tenants, over_share_worth=float(raw.get("over-share-worth", 1)),
-        ask_for_list=raw.get("membership-mode") == "ask", max_attempts=int(allowed["send-cap"]),
-        may_cancel=bool(allowed.get("may-cancel")), may_duplicate=bool(allowed.get("may-duplicate")),
-        may_probe=bool(allowed.get("may-probe")), may_reserve=bool(info.get("may-reserve")),
-        hints_hold_off=bool(allowed.get("retry-after")), max_hold_off=int(allowed.get("max-retry-after", 0)),
-        idle_close=int(allowed.get("conn-idle", 0)), release_within=int(info["release-within"]),
-        writers_read=bool(info.get("writers-read")), resume=bool(info.get("resume")),
-        cold_from=float(safety["cold-from"]), warm_after=int(safety["warm-after"]),
-        fall_window=int(safety["fall"]), fall_multiple=float(safety["fall-multiple"]))
-
-
-def read_report(stats: Fields | None) -> i.LoadReport | None:
-    """A load report in our words; x1 comes in thousands of tokens."""
-    if not stats:
-        return None
-    x1 = stats.get("x1")
-    return i.LoadReport(stats.get("outstanding"), stats.get("backlog"), stats.get("x0"),
-                        None if x1 is None else x1 * 1000)
-
-
 def read_list(f: Fields) -> i.EngineList:
     entries = [i.EngineEntry(m["engine"], m["kind"], CONDITIONS[m["condition"]], m.get("area", ""),
                              int(m.get("bay", 0)), int(m.get("last-start", 0)), float(m.get("size", 1)))
--- /dev/null
+++ b/claycross/core.py
@@ -0,0 +1,307 @@
+"""Requests, attempts, outcomes, holds and leases: what happens is told to the Router, what it says is done.
+
+Owns each request from its arrival to its one final answer, the time-outs of attempts and the letting go of
+what engines hold. It must never decide where a request goes or whether it is refused (policy.py does), and it
+knows neither a wire nor a socket: fronts, engine calls and the clock come in as objects.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from . import interface as i
+from .invariant import invariant
+from .policy import Router
+
+MS, SECOND = 1_000_000, 1_000_000_000
+SPARE = 20 * MS  # after a deadline, until a request that the module left unanswered is failed here
+RELEASE_AGAIN = (40 * MS, 80 * MS, 160 * MS, 320 * MS, 640 * MS, 1280 * MS)  # between tries to let go
+DOUBT_AGAIN = 60 * MS  # a read that was cut off may have ended well while the call to let go was on its way
+ROUNDS = 50  # of events that follow from actions, within one moment
+
+CERTAIN = ("connect_failed", "full", "moot", "stateless")  # outcomes that leave nothing held there
+
+
+class Clock(Protocol):
+    def now(self) -> int: ...
+    def later(self, span: int, call: Callable[[], None]) -> Any: ...
+
+
+class Reply(Protocol):
+    """A front's side of one request. piece() and end() may wait for a slow client."""
+
+    def piece(self, data: bytes) -> None: ...
+    def end(self, whole: bool) -> None: ...
+    def refuse(self, hold_off: int) -> None: ...
+    def fail(self) -> None: ...
+
+
+class Calls(Protocol):
+    """The engine side. Each start() brings exactly one done(), unless it is abandoned first."""
+
+    def start(self, attempt: Try) -> None: ...
+    def abandon(self, attempt: Try) -> None: ...
+    def release(self, engine: str, key: str, told: Callable[[bool], None]) -> None: ...
+    def reserve(self, engine: str, key: str, told: Callable[[bool | None], None]) -> None: ...
+    def probe(self, engine: str, told: Callable[[bool, i.LoadReport | None], None]) -> None: ...
+
+
+class Open:
+    """One request that is not over, or whose attempts are not."""
+
+    def __init__(self, number: int, key: str, payload: Any, reply: Reply, deadline: int):
+        self.number, self.key, self.payload, self.reply, self.deadline = number, key, payload, reply, deadline
+        self.tries: list[Try] = []
+        self.over = False  # answered, failed, refused or left
+        self.stream: Try | None = None  # the attempt that belongs to the client
+        self.holders: dict[str, bool] = {}  # engines that may hold something; True: a read was cut off there
+        self.out = 0
+
+
+class Try:
+    """One attempt."""
+
+    def __init__(self, request: Open, n: int, engine: str, reads: bool, sent: int, timeout: int):
+        self.request, self.n, self.engine, self.reads = request, n, engine, reads
+        self.sent, self.timeout = sent, timeout
+        self.timer: Any = None
+        self.over = self.began = False
+        self.call: Any = None  # the engine side's own
+
+
+class Core:
+    def __init__(self, settings: i.Settings, seed: int, clock: Clock, log: Callable[[str], None],
+                 name: str = "chat"):
+        self.settings, self.clock, self.log, self.name = settings, clock, log, name
+        self.router = Router(settings, seed)
+        self.calls: Calls | None = None
+        self.subscribe: Callable[[], None] = lambda: None
+        self.events: list[i.Event] = []
+        self.open: dict[int, Open] = {}
+        self.listed: dict[str, i.EngineEntry] = {}
+        self.last = 0  # number of the last request
+        self.leases = 0  # calls to let go that are under way
+        self.counts: dict[str, int] = {}
+        self.actions: dict[type, Callable[[Any], None]] = {
+            i.Send: self.send, i.Release: self.let_go, i.Cancel: self.cancel, i.Refuse: self.refuse,
+            i.Fail: self.fail, i.SetTimer: self.set_timer, i.Log: lambda a: self.log(f"policy {a.text}"),
+            i.Reserve: self.reserve, i.Probe: self.probe, i.Move: self.move,
+            i.Subscribe: lambda _: self.subscribe()}
+
+    def count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def push(self, event: i.Event) -> None:
+        self.events.append(event)
+
+    def flush(self) -> None:
+        """Hands what has happened to the module and does what it says, until nothing follows from that."""
+        for _ in range(ROUNDS):
+            if not self.events:
+                return
+            events, self.events = self.events, []
+            for action in self.router.handle(self.clock.now(), events):
+                self.actions[type(action)](action)
+            for event in events:
+                if isinstance(event, i.Outcome | i.Abandoned):
+                    self.forget(event.request)
+        invariant(False, "settles", "the module's actions bring forth events without end")
+
+    # ------------------------------------------------------------ the front's side
+
+    def arrive(self, arrival: i.Arrival, key: str, payload: Any, reply: Reply) -> Open:
+        self.last += 1
+        arrival.request = self.last
+        r = Open(self.last, key, payload, reply, self.clock.now() + arrival.left)
+        self.open[r.number] = r
+        self.count("asked")
+        self.push(arrival)
+        # Guards the rule of one answer in time, should the module ever forget a request.
+        self.clock.later(arrival.left + SPARE, lambda: self.overdue(r))
+        return r
+
+    def overdue(self, r: Open) -> None:
+        if not r.over and not r.stream:
+            self.answer(r, "overdue", r.reply.fail)
+            self.push(i.Abandoned(r.number))
+            invariant(False, "answered-in-time", f"request {r.key} was not answered by its deadline")
+
+    def left(self, r: Open) -> None:
+        """The client has gone away."""
+        if r.over:
+            return
+        r.over = True
+        self.count("left")
+        self.push(i.Abandoned(r.number))
+        if r.stream and not r.stream.over:
+            self.calls.abandon(r.stream)
+            self.settle(r.stream, "cancelled")
+
+    # ------------------------------------------------------------ the engines' side
+
+    def list(self, event: i.EngineList) -> None:
+        if event.kind in ("full", "saved"):
+            self.listed = {}
+        for entry in event.entries:
+            if entry.condition == "gone":
+                self.listed.pop(entry.engine, None)
+            else:
+                self.listed[entry.engine] = entry
+        self.push(event)
+
+    def may_go(self, t: Try) -> bool:
+        """Asked at the moment of the first byte: a drain may have been told while it was connecting."""
+        entry = self.listed.get(t.engine)
+        return not t.over and entry is not None and entry.condition == "ready"
+
+    def began(self, t: Try) -> bool:
+        """The first of the answer is here. False: nobody waits for it."""
+        r = t.request
+        if t.over or r.over or r.stream:
+            return False
+        r.stream, t.began = t, True
+        r.holders.clear()  # with the first token all else that is held goes by itself
+        if t.timer:
+            t.timer.cancel()
+        self.push(i.StreamBegan(r.number, t.n, t.engine, self.clock.now() - t.sent))
+        return True
+
+    def piece(self, t: Try, data: bytes) -> None:
+        if not t.over:
+            t.request.reply.piece(data)
+
+    def done(self, t: Try, result: str, kept: int = 0, report: i.LoadReport | None = None) -> None:
+        """How an attempt ended, unless it was over before. A stream's end goes on to its client."""
+        if t.over:
+            return
+        r = t.request
+        if t.began and not r.over:
+            r.over = True
+            self.count("served" if result == "ok" else "broken")
+            self.settle(t, result, kept, report)
+            r.reply.end(result == "ok")
+        else:
+            self.settle(t, result, kept, report)
+
+    def settle(self, t: Try, result: str, kept: int = 0, report: i.LoadReport | None = None) -> None:
+        r = t.request
+        if not invariant(not t.over, "one-outcome", f"request {r.key} attempt {t.n}"):
+            return
+        t.over = True
+        r.out -= 1
+        if t.timer:
+            t.timer.cancel()
+        if t.reads and result in CERTAIN:
+            r.holders.pop(t.engine, None)
+        elif t.reads and result != "read" and t.engine in r.holders:
+            r.holders[t.engine] = True
+        self.count(result)
+        self.push(i.Outcome(r.number, t.n, t.engine, result, self.clock.now() - t.sent, kept, r.over, report))
+
+    def forget(self, number: int) -> None:
+        r = self.open.get(number)
+        if r and r.over and not r.out:
+            del self.open[number]
+            if not invariant(not r.holders, "let-go", f"request {r.key} ended holding at {list(r.holders)}"):
+                self.let_go(i.Release(number), r)
+
+    # ------------------------------------------------------------ what the module says
+
+    def send(self, a: i.Send) -> None:
+        r = self.open[a.request]
+        now, role = self.clock.now(), None
+        if entry := self.listed.get(a.engine):
+            role = self.settings.roles.get(entry.kind)
+        timeout = max(0, min(a.timeout or r.deadline - now, r.deadline - now))
+        t = Try(r, len(r.tries), a.engine, role == "read", now, timeout)
+        invariant(self.settings.may_duplicate or not r.out, "one-copy", f"request {r.key}")
+        r.tries.append(t)
+        r.out += 1
+        if r.over or r.stream or not timeout or len(r.tries) > self.settings.max_attempts:
+            return self.settle(t, "moot")
+        if not self.may_go(t):
+            return self.settle(t, "connect_failed")
+        if t.reads:
+            r.holders[t.engine] = False
+        t.timer = self.clock.later(timeout, lambda: self.expire(t))
+        self.calls.start(t)
+
+    def expire(self, t: Try) -> None:
+        if not t.over:
+            went = self.calls.abandon(t)
+            self.settle(t, "timeout" if went else "moot")
+
+    def cancel(self, a: i.Cancel) -> None:
+        r = self.open.get(a.request)
+        t = r.tries[a.attempt] if r and a.attempt < len(r.tries) else None
+        if t and not t.over and not t.began:
+            went = self.calls.abandon(t)
+            self.settle(t, "cancelled" if went else "moot")
+
+    def answer(self, r: Open, how: str, say: Callable[..., None], *args: Any) -> None:
+        """The one way to a final answer that no engine gave."""
+        r.over = True
+        self.count(how)
+        say(*args)
+
+    def refuse(self, a: i.Refuse) -> None:
+        if (r := self.open.get(a.request)) and not r.over and not r.stream:
+            self.answer(r, "refused", r.reply.refuse, a.hold_off)
+            self.forget(a.request)
+
+    def fail(self, a: i.Fail) -> None:
+        if (r := self.open.get(a.request)) and not r.over and not r.stream:
+            self.answer(r, "failed", r.reply.fail)
+            self.forget(a.request)
+
+    def move(self, a: i.Move) -> None:
+        """Ends a begun stream before its last chunk: its client comes again for the rest."""
+        if (r := self.open.get(a.request)) and r.stream and not r.stream.over:
+            self.calls.abandon(r.stream)
+            self.done(r.stream, "cancelled")
+
+    def set_timer(self, a: i.SetTimer) -> None:
+        self.clock.later(a.delay, lambda: self.push(i.TimerDue(a.token)))
+
+    # ------------------------------------------------------------ leases and probes
+
+    def let_go(self, a: i.Release, gone: Open | None = None) -> None:
+        """Asks each engine that may hold something for the request to let go of it, until one has heard."""
+        r = gone or self.open.get(a.request)
+        if not r:
+            return
+        for engine, doubt in r.holders.items():
+            self.release(engine, r.key, 0)
+            if doubt:
+                self.clock.later(DOUBT_AGAIN, lambda engine=engine: self.release(engine, r.key, 0))
+        r.holders.clear()
+
+    def release(self, engine: str, key: str, n: int) -> None:
+        self.leases += 1
+
+        def told(heard: bool) -> None:
+            self.leases -= 1
+            if heard or n >= len(RELEASE_AGAIN) or engine not in self.listed:
+                if not heard:
+                    self.log(f"lease-lost engine={engine} request={key}")
+                return
+            self.count("release-retry")
+            self.clock.later(RELEASE_AGAIN[n], lambda: self.release(engine, key, n + 1))
+        self.calls.release(engine, key, told)
+
+    def reserve(self, a: i.Reserve) -> None:
+        r = self.open.get(a.request)
+        if not r or r.over or (entry := self.listed.get(a.engine)) is None or entry.condition != "ready":
+            return
+        r.holders.setdefault(a.engine, True)
+
+        def told(held: bool | None) -> None:
+            if held is not None:
+                self.push(i.Reserved(r.number, a.engine, held))
+        self.calls.reserve(a.engine, r.key, told)
+
+    def probe(self, a: i.Probe) -> None:
+        start = self.clock.now()
+        self.calls.probe(a.engine, lambda passed, report: self.push(
+            i.ProbeResult(a.engine, passed, self.clock.now() - start, report)))
--- /dev/null
+++ b/claycross/net/discovery.py
@@ -0,0 +1,127 @@
+"""The list of engines: first as it was last known, then as discovery's watch tells it.
+
+Owns the reading of discovery's messages and the reconnecting. It must never drop the list it has because
+discovery is silent, and never let junk from there become more than a logged retry.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from .. import interface as i
+from .http1 import Body, End, Head, Malformed, Messages, request
+from .loop import MS, SECOND, Closed, Conn, Loop
+
+Address = tuple[str, int]
+Told = Callable[[i.EngineList, dict[str, Address]], None]
+QUIET = 5 * SECOND  # a watch says something every 2 s
+DIAL, BACK_OFF, LONGEST_BACK_OFF = SECOND, 100 * MS, SECOND
+MAX_LINE = 4 << 20
+STATES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
+
+
+class Junk(Exception):
+    """What discovery says can't be understood."""
+
+
+def read_targets(message: Any, kind: str = "") -> tuple[int, i.EngineList, dict[str, Address]]:
+    """One message of discovery: its version, the entries, and where each engine listens."""
+    try:
+        entries, addresses = [], {}
+        for t in message["targets"]:
+            uid, state = str(t["uid"]), STATES.get(t["state"])
+            if state is None:
+                raise Junk(f"state {t['state']!r} is not known")
+            if state != "gone":
+                host, _, port = str(t["endpoint"]).rpartition(":")
+                addresses[uid] = (host, int(port))
+            entries.append(i.EngineEntry(
+                uid, str(t.get("model", "")), state, str(t.get("az", "")), int(t.get("pod_group") or 0),
+                int(t.get("boot_ms") or 0) * MS, float(t.get("capacity_hint") or 1)))
+        kind = kind or ("full" if message.get("all") else "changes")
+        return int(message["rev"]), i.EngineList(kind, entries), addresses
+    except (KeyError, TypeError, ValueError, AttributeError) as err:
+        raise Junk(f"{type(err).__name__} {err}") from None
+
+
+class Discovery:
+    """Watches the platform's discovery, for ever (or, asked once, until the watch breaks)."""
+
+    def __init__(self, loop: Loop, address: Address, told: list[Told], log: Callable[[str], None]):
+        self.loop, self.address, self.told, self.log = loop, address, told, log
+        self.version, self.heard, self.back_off = 0, 0, BACK_OFF
+        self.running = False
+
+    def start_from(self, known: Any) -> None:
+        """The list as this gateway had it last."""
+        if not known:
+            known = {"rev": 0, "targets": []}
+        try:
+            self.version, found, addresses = read_targets(known, "saved")
+        except Junk as err:
+            self.log(f"discovery-junk source=known {err}")
+            self.version, found, addresses = 0, i.EngineList("saved"), {}
+        self.tell(found, addresses)
+
+    def tell(self, found: i.EngineList, addresses: dict[str, Address]) -> None:
+        for told in self.told:
+            told(found, addresses)
+
+    def watch_for_ever(self) -> None:
+        while True:
+            try:
+                self.watch()
+            except (Closed, Malformed, Junk) as err:
+                self.log(f"discovery-lost rev={self.version} wait_ms={self.back_off // MS} {err}")
+            self.loop.sleep(self.back_off)
+            self.back_off = min(2 * self.back_off, LONGEST_BACK_OFF)
+
+    def watch_once(self, lost: Callable[[], None]) -> None:
+        """For deployments in which the module asks: it hears of the end of its watch and asks again."""
+        if self.running:
+            return
+        self.running = True
+        try:
+            self.watch()
+        except (Closed, Malformed, Junk) as err:
+            self.log(f"discovery-lost rev={self.version} {err}")
+        finally:
+            self.running = False
+            lost()
+
+    def watch(self) -> None:
+        """One watch, until it ends; it always ends in an exception."""
+        conn = Conn.dial(self.loop, self.address, DIAL)
+        try:
+            host = ("Host", f"{self.address[0]}:{self.address[1]}")
+            conn.send(request("GET", f"/api/targets?watch=1&from={self.version}", [host]), DIAL)
+            messages, line = Messages(responses=True, max_body=1 << 62), b""
+            while data := conn.recv(QUIET):
+                for part in messages.feed(data):
+                    if isinstance(part, Head) and part.status != 200:
+                        raise Junk(f"status {part.status}")
+                    if isinstance(part, Body):
+                        *lines, line = (line + part.data).split(b"\n")
+                        for whole in lines:
+                            self.read(whole)
+                        if len(line) > MAX_LINE:
+                            raise Junk("a line without end")
+                    if isinstance(part, End):
+                        raise Closed("the watch ended")
+            raise Closed("the connection ended")
+        finally:
+            conn.close()
+
+    def read(self, line: bytes) -> None:
+        self.back_off = BACK_OFF
+        if not line.strip():
+            return
+        try:
+            message = json.loads(line)
+        except ValueError as err:
+            raise Junk(str(err)) from None
+        self.version, found, addresses = read_targets(message)
+        self.log(f"discovery rev={self.version} kind={found.kind} entries={len(found.entries)}")
+        self.tell(found, addresses)
--- /dev/null
+++ b/claycross/net/loop.py
@@ -0,0 +1,406 @@
+"""The scheduler: greenlets over select.poll, a timer wheel of coarse ticks, and connections that park them.
+
+Owns the process's only clock, its only poll call, every timer and every socket's readiness, and measures its
+own lateness. It must never block other than in poll, know a protocol, or let one task's error end the loop.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import select
+import signal
+import socket
+import sys
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from greenlet import getcurrent, greenlet
+
+MS, SECOND = 1_000_000, 1_000_000_000
+TICK, SLOTS = 2 * MS, 512  # of the wheel: one turn is about a second
+BACKGROUND_SHARE = 4  # background tasks run in one round, after all urgent ones
+LATE = 40 * MS  # a round or a timer later than this is logged
+READ_SIZE = 65_536
+HUNG = select.POLLIN | select.POLLHUP | select.POLLERR | select.POLLNVAL
+
+
+class Closed(Exception):
+    """The connection was closed, here or by its other side, or broke."""
+
+
+class TimedOut(Closed):
+    """It did not become ready in time."""
+
+
+class Interrupted(Exception):
+    """The reader of a connection is wanted for something else."""
+
+
+class Timer:
+    __slots__ = ("due", "call")
+
+    def __init__(self, due: int, call: Callable[[], None]):
+        self.due, self.call = due, call  # due: in ticks
+
+    def cancel(self) -> None:
+        self.call = None
+
+
+class Wheel:
+    """Hashed wheel: a timer stands in the slot of its tick and is passed over until its turn has come."""
+
+    def __init__(self, now: int):
+        self.slots: list[list[Timer]] = [[] for _ in range(SLOTS)]
+        self.tick = now // TICK  # the last one that was served
+
+    def add(self, due: int, call: Callable[[], None]) -> Timer:
+        timer = Timer(max(-(-due // TICK), self.tick + 1), call)  # never early
+        self.slots[timer.due % SLOTS].append(timer)
+        return timer
+
+    def next_due(self) -> int:
+        """The tick of the next timer, or one turn from here if there is none before."""
+        for tick in range(self.tick + 1, self.tick + SLOTS):
+            if any(t.due <= tick and t.call for t in self.slots[tick % SLOTS]):
+                return tick
+        return self.tick + SLOTS
+
+    def expire(self, now: int) -> list[Timer]:
+        last, due = now // TICK, []
+        for tick in range(max(self.tick + 1, last - SLOTS + 1), last + 1):
+            slot = self.slots[tick % SLOTS]
+            if slot:
+                due += [t for t in slot if t.due <= last and t.call]
+                slot[:] = [t for t in slot if t.due > last and t.call]
+        self.tick = max(self.tick, last)
+        return sorted(due, key=lambda t: t.due)
+
+
+class Task:
+    """One greenlet. A parked task runs again after wake(); waking it twice is the same as once."""
+
+    __slots__ = ("run", "background", "parked")
+
+    def __init__(self, run: greenlet, background: bool):
+        self.run, self.background, self.parked = run, background, True
+
+
+class Loop:
+    def __init__(self) -> None:
+        self.offset = time.time_ns() - time.monotonic_ns()  # Unix time, but never set back while we run
+        self.poller = select.poll()
+        self.watched: dict[int, Callable[[int], None]] = {}
+        self.wheel = Wheel(self.now())
+        self.urgent: deque[Task] = deque()
+        self.background: deque[Task] = deque()
+        self.hub = getcurrent()
+        self.current: Task | None = None
+        self.after_round: list[Callable[[], None]] = []
+        self.stopping = False
+        self.rounds = self.worst_late = self.late_rounds = self.errors = 0
+
+    def now(self) -> int:
+        return time.monotonic_ns() + self.offset
+
+    # ------------------------------------------------------------ tasks and timers
+
+    def spawn(self, work: Callable[..., Any], *args: Any, background: bool = False) -> Task:
+        def body() -> None:
+            try:
+                work(*args)
+            except Closed:
+                pass
+            except Exception:
+                self.report(getattr(work, "__qualname__", "task"))
+        task = Task(greenlet(body, self.hub), background)
+        self.wake(task)
+        return task
+
+    def report(self, where: str) -> None:
+        """An error nobody foresaw: one line, so that the log stays readable, and on it goes."""
+        self.errors += 1
+        kind, err, trace = sys.exc_info()
+        at = " < ".join(f"{f.name}:{f.lineno}" for f in reversed(traceback.extract_tb(trace)[-4:]))
+        print(f"unexpected where={where} error={kind.__name__}: {err} at={at}", file=sys.stderr, flush=True)
+
+    def wake(self, task: Task | None) -> None:
+        if task is not None and task.parked:
+            task.parked = False
+            (self.background if task.background else self.urgent).append(task)
+
+    def park(self) -> None:
+        task = self.current
+        task.parked = True
+        self.hub.switch()
+
+    def sleep(self, span: int) -> None:
+        task = self.current
+        self.later(span, lambda: self.wake(task))
+        self.park()
+
+    def later(self, span: int, call: Callable[[], None]) -> Timer:
+        return self.wheel.add(self.now() + max(0, span), call)
+
+    # ------------------------------------------------------------ the rounds
+
+    def watch(self, fd: int, mask: int, ready: Callable[[int], None]) -> None:
+        if mask:
+            self.poller.register(fd, mask)
+            self.watched[fd] = ready
+        elif self.watched.pop(fd, None):
+            self.poller.unregister(fd)
+
+    def stop(self) -> None:
+        self.stopping = True
+
+    def run(self) -> None:
+        while not self.stopping:
+            self.round()
+
+    def round(self) -> None:
+        if self.urgent or self.background:
+            wait = 0
+        else:
+            wait = max(0, -(-(self.wheel.next_due() * TICK - self.now()) // MS))
+        ready = self.poller.poll(wait)
+        start = self.now()
+        for fd, mask in ready:
+            if call := self.watched.get(fd):
+                self.guard(call, mask)
+        due = self.wheel.expire(start)
+        for timer in due:
+            if timer.call:
+                self.guard(timer.call)
+        for _ in range(len(self.background) and BACKGROUND_SHARE or 1):
+            self.run_urgent()
+            if self.background:
+                self.switch(self.background.popleft())
+        self.run_urgent()
+        for call in self.after_round:
+            self.guard(call)
+        self.rounds += 1
+        late = max(self.now() - start, start - due[0].due * TICK if due else 0)
+        if late > LATE:
+            self.late_rounds += 1
+        self.worst_late = max(self.worst_late, late)
+
+    def run_urgent(self) -> None:
+        for _ in range(len(self.urgent)):
+            self.switch(self.urgent.popleft())
+
+    def switch(self, task: Task) -> None:
+        self.current = task
+        task.run.switch()
+        self.current = None
+
+    def guard(self, call: Callable[..., None], *args: Any) -> None:
+        try:
+            call(*args)
+        except Exception:
+            self.report(getattr(call, "__qualname__", "call"))
+
+    def on_signals(self, numbers: list[int], call: Callable[[], None]) -> None:
+        """Runs `call` in the loop, not in the handler."""
+        self.wakeup = socket.socketpair()
+        for end in self.wakeup:
+            end.setblocking(False)
+        signal.set_wakeup_fd(self.wakeup[1].fileno(), warn_on_full_buffer=False)
+        for number in numbers:
+            signal.signal(number, lambda *_: None)
+
+        def ready(_: int) -> None:
+            self.wakeup[0].recv(512)
+            call()
+        self.watch(self.wakeup[0].fileno(), select.POLLIN, ready)
+
+
+class Listener:
+    """Accepts while `room()` says so."""
+
+    def __init__(self, loop: Loop, address: tuple[str, int], accepted: Callable[[Conn], None],
+                 room: Callable[[], bool], backlog: int = 256):
+        self.loop, self.accepted, self.room = loop, accepted, room
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind(address)
+        self.sock.listen(backlog)
+        self.open, self.paused = True, False
+        loop.watch(self.sock.fileno(), select.POLLIN, self.ready)
+
+    def address(self) -> tuple[str, int]:
+        return self.sock.getsockname()[:2]
+
+    def ready(self, _: int) -> None:
+        for _ in range(64):
+            if not self.room():
+                return self.pause()
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return
+            except OSError:  # out of descriptors, or the peer went away meanwhile
+                return self.pause()
+            self.accepted(Conn(self.loop, sock))
+
+    def pause(self) -> None:
+        """Guards against a busy loop on a listener that is readable while nothing can be accepted."""
+        if not self.paused and self.open:
+            self.paused = True
+            self.loop.watch(self.sock.fileno(), 0, self.ready)
+            self.loop.later(20 * MS, self.resume)
+
+    def resume(self) -> None:
+        if self.paused and self.open:
+            self.paused = False
+            self.loop.watch(self.sock.fileno(), select.POLLIN, self.ready)
+
+    def close(self) -> None:
+        if self.open:
+            self.open = False
+            if not self.paused:
+                self.loop.watch(self.sock.fileno(), 0, self.ready)
+            self.sock.close()
+
+
+class Conn:
+    """A socket that parks the calling task. One task may read and another write at the same time."""
+
+    def __init__(self, loop: Loop, sock: socket.socket):
+        self.loop, self.sock = loop, sock
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.reader: Task | None = None
+        self.writer: Task | None = None
+        self.mask, self.closed, self.interrupted = 0, False, False
+        self.idle: Callable[[], None] | None = None  # called once if anything happens while nobody reads
+        self.read_at = 0  # when the loop saw the last bytes
+
+    @classmethod
+    def dial(cls, loop: Loop, address: tuple[str, int], wait: int) -> Conn:
+        try:
+            conn = cls(loop, socket.socket())
+        except OSError as err:  # out of descriptors
+            raise Closed(f"no socket: {err}") from None
+        try:
+            if (err := conn.sock.connect_ex(address)) == errno.EINPROGRESS:
+                conn.wait(False, wait)
+                err = conn.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if err:
+                raise Closed(os.strerror(err))
+        except (OSError, Closed) as err:
+            conn.close()
+            raise Closed(f"no connection: {err}") from None
+        return conn
+
+    def watch(self) -> None:
+        mask = 0
+        if self.reader or self.idle:
+            mask |= select.POLLIN
+        if self.writer:
+            mask |= select.POLLOUT
+        if mask != self.mask and not self.closed:
+            self.mask = mask
+            self.loop.watch(self.sock.fileno(), mask, self.ready)
+
+    def ready(self, mask: int) -> None:
+        if self.reader and mask & HUNG:
+            self.loop.wake(self.reader)
+            self.reader = None
+        if self.writer and mask & (select.POLLOUT | select.POLLHUP | select.POLLERR):
+            self.loop.wake(self.writer)
+            self.writer = None
+        if self.idle and mask & HUNG:
+            idle, self.idle = self.idle, None
+            idle()
+        self.watch()
+
+    def wait(self, to_read: bool, span: int = 0) -> None:
+        """Parks until the socket is ready; raises TimedOut after `span` (0: never), Closed if closed."""
+        task, timer, late = self.loop.current, None, []
+        if to_read:
+            self.reader = task
+        else:
+            self.writer = task
+        self.watch()
+        if span:
+            def expire() -> None:
+                late.append(True)
+                self.loop.wake(task)
+            timer = self.loop.later(span, expire)
+        try:
+            self.loop.park()
+        finally:
+            if timer:
+                timer.cancel()
+            if self.reader is task:
+                self.reader = None
+            if self.writer is task:
+                self.writer = None
+            self.watch()
+        if self.closed:
+            raise Closed("closed")
+        if late:
+            raise TimedOut("not ready in time")
+
+    def interrupt(self) -> None:
+        """Gets the reading task out of recv(), now or as soon as it would wait there."""
+        self.interrupted = True
+        self.loop.wake(self.reader)
+
+    def recv(self, span: int = 0) -> bytes:
+        """Some bytes; b"" at the end of what the other side sends."""
+        while True:
+            if self.closed:
+                raise Closed("closed")
+            try:
+                data = self.sock.recv(READ_SIZE)
+                self.read_at = self.loop.now()
+                return data
+            except BlockingIOError:
+                if not self.interrupted:
+                    self.wait(True, span)
+                if self.interrupted:
+                    self.interrupted = False
+                    raise Interrupted from None
+            except OSError as err:
+                raise Closed(str(err)) from None
+
+    def send(self, data: bytes, span: int = 0) -> None:
+        """All of it, or Closed. `span` bounds each wait for a peer that does not read."""
+        view = memoryview(data)
+        while view:
+            if self.closed:
+                raise Closed("closed")
+            try:
+                view = view[self.sock.send(view):]
+            except BlockingIOError:
+                self.wait(False, span)
+            except OSError as err:
+                raise Closed(str(err)) from None
+
+    def quiet(self) -> bool:
+        """Whether it is open with nothing to read: only such a connection may carry a new request."""
+        if self.closed:
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+            return False
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed, self.idle = True, None
+        if self.mask:
+            self.loop.watch(self.sock.fileno(), 0, self.ready)
+        self.sock.close()
+        for task in (self.reader, self.writer):
+            self.loop.wake(task)
--- /dev/null
+++ b/claycross/settings.py
@@ -0,0 +1,109 @@
+"""One reading of the settings, for the simulator's adapter and for the gateway alike.
+
+Owns the words of the settings object and of the configuration file. It must never guess at what is required
+and missing: that is a BadSettings with one plain line.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from . import interface as i
+
+Fields = dict[str, Any]
+
+
+class BadSettings(Exception):
+    """The configuration can't be used; the text says why, in one line."""
+
+
+def read_settings(raw: Fields) -> i.Settings:
+    """The settings that come with `Launch`, in our words."""
+    info, allowed, safety = raw["family-info"], raw["permissions"], raw["safety"]
+    aims = info.get("aim-us-per-1000-prompt-tokens", [])
+    paces = info.get("token-aim", [])
+    classes = {}
+    for n, c in enumerate(raw["categories"]):
+        classes[c["name"]] = i.ClassSpec(
+            name=c["name"], aim=int(c["slo"]), give_up=int(c["give-up"]), worth=float(c.get("importance", 1)),
+            late_worth=float(c.get("late-worth", 0)), effect=c.get("effect", "safe"),
+            group=c.get("group", "all"), key_ttl=int(c.get("key-ttl", 0)),
+            streaming=bool(c.get("streaming", False)),
+            aim_per_token=float(aims[n]) if n < len(aims) else 0.0,
+            token_aim=int(paces[n]) if n < len(paces) else 0)
+    kinds = raw["host-types"]
+    tenants = {t["name"]: i.TenantSpec(t["name"], float(t.get("quota-per-s", 0)), float(t.get("share", 0)))
+               for t in raw.get("tenants", [])}
+    return i.Settings(
+        classes=classes, roles=dict(zip(kinds, info["kind-role"], strict=False)),
+        memory={k: int(m) for k, m in zip(kinds, info.get("kv-tokens", []), strict=False)},
+        zone=raw.get("zone", ""), nodes=int(raw["balancers"]), me=int(raw.get("me", 0)),
+        tick=int(raw["tick"]),
+        tenants=tenants, over_share_worth=float(raw.get("over-share-worth", 1)),
+        ask_for_list=raw.get("membership-mode") == "ask", max_attempts=int(allowed["send-cap"]),
+        may_cancel=bool(allowed.get("may-cancel")), may_duplicate=bool(allowed.get("may-duplicate")),
+        may_probe=bool(allowed.get("may-probe")), may_reserve=bool(info.get("may-reserve")),
+        hints_hold_off=bool(allowed.get("retry-after")), max_hold_off=int(allowed.get("max-retry-after", 0)),
+        idle_close=int(allowed.get("conn-idle", 0)), release_within=int(info["release-within"]),
+        writers_read=bool(info.get("writers-read")), resume=bool(info.get("resume")),
+        cold_from=float(safety["cold-from"]), warm_after=int(safety["warm-after"]),
+        fall_window=int(safety["fall"]), fall_multiple=float(safety["fall-multiple"]))
+
+
+def read_report(stats: Fields | None) -> i.LoadReport | None:
+    """A load report in our words; x1 comes in thousands of tokens."""
+    if not stats:
+        return None
+    x1 = stats.get("x1")
+    return i.LoadReport(stats.get("outstanding"), stats.get("backlog"), stats.get("x0"),
+                        None if x1 is None else x1 * 1000)
+
+
+@dataclass(slots=True)
+class Config:
+    """What a gateway is told when it starts."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    known: Fields
+    settings: i.Settings
+    dial_timeout: int
+
+
+def read_address(text: Any, what: str) -> tuple[str, int]:
+    host, mark, port = str(text).rpartition(":")
+    if not mark or not host or not port.isdigit() or int(port) > 65535:
+        raise BadSettings(f"{what} must be an address and a port, not {text!r}")
+    return host, int(port)
+
+
+def read_config(path: str, env: dict[str, str]) -> Config:
+    """The configuration file, the environment's own words over it."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = json.load(file)
+    except OSError as err:
+        raise BadSettings(f"configuration {path}: {err.strerror}") from None
+    except ValueError as err:
+        raise BadSettings(f"configuration {path} is not JSON: {err}") from None
+    if not isinstance(raw, dict):
+        raise BadSettings(f"configuration {path} must hold an object")
+    try:
+        seed = str(raw.get("seed", "0"))
+        limits, settings = raw.get("limits") or {}, raw["settings"]
+        return Config(
+            name=env.get("PROXY_NAME") or str(raw.get("name", "")),
+            listen=read_address(env.get("PROXY_LISTEN") or raw["listen"], "listen"),
+            discovery=read_address(env.get("PROXY_DISCOVERY") or raw["discovery"], "discovery"),
+            seed=int(seed, 16), sockets=int(limits.get("sockets", 1024)),
+            known=raw.get("known") or {}, settings=read_settings(settings),
+            dial_timeout=int(settings["permissions"].get("dial-timeout", 250_000_000)))
+    except KeyError as err:
+        raise BadSettings(f"configuration {path}: {err} is missing") from None
+    except (TypeError, ValueError, AttributeError) as err:
+        raise BadSettings(f"configuration {path}: {err}") from None
