--- a/claycross/__main__.py
+++ b/claycross/__main__.py
@@ -18,12 +18,14 @@
 from .core import Core
 from .interface import EngineList, Settings
 from .invariant import broken
-from .net.discovery import Address, Discovery
+from .net.admin import AdminFront, Tenants
+from .net.discovery import Address, Discovery, Etcd
 from .net.embeddings import EmbeddingsFront
 from .net.engines import Engines, Pool
 from .net.loop import MS, SECOND, Loop
 from .net.platform import Front, Platform
-from .settings import BadSettings, Config, Embeddings, read_config, read_embeddings
+from .settings import (
+    Admin, BadSettings, Config, Embeddings, EtcdSource, read_admin, read_config, read_embeddings, read_etcd)
 
 VERSION = "0.2.0"
 STILL_ACCEPTS = 500 * MS  # after SIGTERM: the front needs up to 0.4 s to notice
@@ -31,33 +33,46 @@
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
                   help="The gateway of the chat service.")
 EmbeddingsOption = Annotated[str, typer.Option("--embeddings", help="File of the embeddings front.")]
+AdminOption = Annotated[str, typer.Option("--admin", help="File of the administration API.")]
+EtcdOption = Annotated[str, typer.Option("--etcd", help="File that names etcd as the source of the list.")]
 ConfigOption = Annotated[str, typer.Option("--config", envvar="PROXY_CONFIG", help="Configuration file.")]
 
 
+Files = tuple[Config, Embeddings | None, Admin | None, EtcdSource | None]
+
+
 class Gateway:
     """All parts of one gateway, on one loop."""
 
-    def __init__(self, config: Config, embeddings: Embeddings | None = None):
+    def __init__(self, config: Config, embeddings: Embeddings | None = None, admin: Admin | None = None,
+                 etcd: EtcdSource | None = None):
         self.config, self.loop = config, Loop()
         self.stopping = False
         sockets = config.sockets - 48  # some are for the process itself, discovery and what is being accepted
         if embeddings:
-            sockets -= embeddings.most_clients + embeddings.most_open
+            sockets -= embeddings.most_clients + embeddings.most_open + (admin.most_clients if admin else 0)
         share = max(16, sockets // 2)  # for each side
         self.cores: list[Core] = []
         self.sides: list[Engines] = []
         self.core = self.add_core("chat", config.settings, share)
         if embeddings:
             self.add_core("embeddings", embeddings.settings, embeddings.most_open)
-        self.discovery = Discovery(self.loop, config.discovery, [self.told], self.log)
+        if etcd:
+            self.discovery: Discovery = Etcd(self.loop, etcd, [self.told], self.log)
+        else:
+            self.discovery = Discovery(self.loop, config.discovery, [self.told], self.log)
         self.discovery.start_from(config.known)
         for core in self.cores:
             self.loop.after_round.append(core.flush)
             core.flush()
         self.fronts: list[Front] = [Platform(self.loop, self.core, config.listen, share)]
-        if embeddings:
+        if embeddings and admin:
+            tenants = Tenants(admin.tenants, embeddings.settings.tenants)
+            self.fronts.append(EmbeddingsFront(self.loop, self.cores[1], embeddings, tenants.named))
+            self.fronts.append(AdminFront(self.loop, self.cores[1], admin, tenants, self.status))
+        elif embeddings:
             self.fronts.append(EmbeddingsFront(self.loop, self.cores[1], embeddings))
-        if config.settings.ask_for_list:
+        if config.settings.ask_for_list and not etcd:
             self.core.subscribe = lambda: self.loop.spawn(self.discovery.watch_once, self.list_failed)
         else:
             self.loop.spawn(self.discovery.watch_for_ever)
@@ -88,13 +103,20 @@
         loop = self.loop
         self.log(f"stats late_max_ms={loop.worst_late / MS:.1f} late_rounds={loop.late_rounds} "
                  f"errors={loop.errors} broken={sum(broken.values())}")
-        for core, side, front in zip(self.cores, self.sides, self.fronts, strict=True):
+        for core, side, front in zip(self.cores, self.sides, self.fronts, strict=False):
             pool, counts = side.pool, " ".join(f"{k}={v}" for k, v in sorted(core.counts.items()))
             self.log(f"stats-{core.name} open={len(core.open)} clients={len(front.clients)} "
                      f"engines={pool.open} dialled={pool.dialled} reused={pool.reused} {counts}")
         loop.worst_late = 0
         loop.later(STATS, self.stats)
 
+    def status(self) -> dict[str, object]:
+        """What the administration API shows: the figures of the log's stats, now."""
+        return {"version": VERSION, "stopping": self.stopping, "errors": self.loop.errors,
+                "broken": dict(broken), "fronts": {core.name: {
+                    "open": len(core.open), "engines_listed": len(core.listed), "counts": core.counts}
+                    for core in self.cores}}
+
     def stop(self) -> None:
         """SIGTERM: goes on accepting for a while, then ends as soon as nothing is owed."""
         if self.stopping:
@@ -118,7 +140,8 @@
         gc.collect()
         gc.freeze()
         host, port = self.fronts[0].listener.address()
-        more = "".join(" embeddings={}:{}".format(*f.listener.address()) for f in self.fronts[1:])
+        more = "".join(" {}={}:{}".format(name, *f.listener.address())
+                       for name, f in zip(("embeddings", "admin"), self.fronts[1:], strict=False))
         self.log(f"serving listen={host}:{port}{more} version={VERSION} debug={__debug__} "
                  f"engines={len(self.core.listed)}")
         self.loop.run()
@@ -129,35 +152,48 @@
     raise typer.Exit(2)
 
 
-def load(path: str, embeddings: str) -> tuple[Config, Embeddings | None]:
+def load(config: str, embeddings: str, admin: str, etcd: str) -> Files:
     try:
-        config = read_config(path, dict(os.environ))
-        return config, read_embeddings(embeddings, config) if embeddings else None
+        if admin and not embeddings:
+            raise BadSettings("--admin needs --embeddings: tenants are those of that front")
+        found = read_config(config, dict(os.environ))
+        return (found, read_embeddings(embeddings, found) if embeddings else None,
+                read_admin(admin) if admin else None, read_etcd(etcd) if etcd else None)
     except BadSettings as err:
         complain(str(err))
 
 
 @app.command()
-def serve(config: ConfigOption, embeddings: EmbeddingsOption = "") -> None:
+def serve(config: ConfigOption, embeddings: EmbeddingsOption = "", admin: AdminOption = "",
+          etcd: EtcdOption = "") -> None:
     """Runs the gateway until SIGTERM."""
-    found, second = load(config, embeddings)
+    files = load(config, embeddings, admin, etcd)
     try:
-        gateway = Gateway(found, second)
+        gateway = Gateway(*files)
+    except BadSettings as err:
+        complain(str(err))
     except OSError as err:
-        where = " or ".join(f"{c.listen[0]}:{c.listen[1]}" for c in (found, second) if c)
+        where = " or ".join(f"{f.listen[0]}:{f.listen[1]}" for f in files[:3] if f)
         complain(f"cannot listen on {where}: {err.strerror}")
     gateway.run()
 
 
 @app.command("check-config")
-def check_config(config: ConfigOption, embeddings: EmbeddingsOption = "") -> None:
+def check_config(config: ConfigOption, embeddings: EmbeddingsOption = "", admin: AdminOption = "",
+                 etcd: EtcdOption = "") -> None:
     """Reads the configuration and says what it holds, or what is wrong with it."""
-    found, second = load(config, embeddings)
+    found, second, third, source = load(config, embeddings, admin, etcd)
     print(f"ok: {found.name or 'unnamed'} listens on {found.listen[0]}:{found.listen[1]}, "
           f"{len(found.settings.classes)} classes, {len(found.known.get('targets', []))} known engines")
     if second:
         print(f"ok: embeddings listen on {second.listen[0]}:{second.listen[1]}, "
               f"{second.most_open} requests at most, kinds {', '.join(second.settings.roles)}")
+    if third:
+        print(f"ok: administration listens on {third.listen[0]}:{third.listen[1]}, "
+              f"tenants in {third.tenants}")
+    if source:
+        print(f"ok: the list of engines comes from etcd at {source.address[0]}:{source.address[1]}, "
+              f"under {source.prefix}")
 
 
 @app.command()
--- a/claycross/core.py
+++ b/claycross/core.py
@@ -289,6 +289,10 @@
                     self.log(f"lease-lost engine={engine} request={key}")
                 return
             self.count("release-retry")
+            # Any engine that runs passes the word on; guards what a machine that can't be reached would pin.
+            others = [e for e in sorted(self.listed) if e != engine and self.listed[e].condition == "ready"]
+            if n == 0 and others:
+                self.calls.release(others[0], key, lambda _: None)
             self.clock.later(RELEASE_AGAIN[n], lambda: self.release(engine, key, n + 1))
         self.calls.release(engine, key, told)
 
--- a/claycross/net/discovery.py
+++ b/claycross/net/discovery.py
@@ -1,4 +1,4 @@
-"""The list of engines: first as it was last known, then as discovery's watch tells it.
+"""The list of engines: first as it was last known, then as a watch on discovery, or on etcd, tells it.
 
 Owns the reading of discovery's messages and the reconnecting. It must never drop the list it has because
 discovery is silent, and never let junk from there become more than a logged retry.
@@ -6,17 +6,18 @@
 
 from __future__ import annotations
 
+import base64
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from .. import interface as i
+from ..settings import EtcdSource
 from .http1 import Body, End, Head, Malformed, Messages, request
-from .loop import MS, SECOND, Closed, Conn, Loop
+from .loop import MS, SECOND, Closed, Conn, Loop, TimedOut
 
 Address = tuple[str, int]
 Told = Callable[[i.EngineList, dict[str, Address]], None]
-QUIET = 5 * SECOND  # a watch says something every 2 s
 DIAL, BACK_OFF, LONGEST_BACK_OFF = SECOND, 100 * MS, SECOND
 MAX_LINE = 4 << 20
 STATES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
@@ -49,6 +50,8 @@
 class Discovery:
     """Watches the platform's discovery, for ever (or, asked once, until the watch breaks)."""
 
+    quiet = 5 * SECOND  # a watch says something every 2 s
+
     def __init__(self, loop: Loop, address: Address, told: list[Told], log: Callable[[str], None]):
         self.loop, self.address, self.told, self.log = loop, address, told, log
         self.version, self.heard, self.back_off = 0, 0, BACK_OFF
@@ -93,23 +96,29 @@
 
     def watch(self) -> None:
         """One watch, until it ends; it always ends in an exception."""
+        for line in self.lines("GET", f"/api/targets?watch=1&from={self.version}"):
+            self.read(line)
+        raise Closed("the watch ended")
+
+    def lines(self, method: str, target: str, body: bytes = b"") -> Iterator[bytes]:
+        """The lines of one answer as they come, on a connection of its own."""
         conn = Conn.dial(self.loop, self.address, DIAL)
         try:
-            host = ("Host", f"{self.address[0]}:{self.address[1]}")
-            conn.send(request("GET", f"/api/targets?watch=1&from={self.version}", [host]), DIAL)
+            headers = [("Host", f"{self.address[0]}:{self.address[1]}")]
+            conn.send(request(method, target, headers, body), DIAL)
             messages, line = Messages(responses=True, max_body=1 << 62), b""
-            while data := conn.recv(QUIET):
+            while data := conn.recv(self.quiet):
                 for part in messages.feed(data):
                     if isinstance(part, Head) and part.status != 200:
                         raise Junk(f"status {part.status}")
                     if isinstance(part, Body):
-                        *lines, line = (line + part.data).split(b"\n")
-                        for whole in lines:
-                            self.read(whole)
+                        *whole, line = (line + part.data).split(b"\n")
+                        yield from whole
                         if len(line) > MAX_LINE:
                             raise Junk("a line without end")
                     if isinstance(part, End):
-                        raise Closed("the watch ended")
+                        yield line
+                        return
             raise Closed("the connection ended")
         finally:
             conn.close()
@@ -122,6 +131,80 @@
             message = json.loads(line)
         except ValueError as err:
             raise Junk(str(err)) from None
+        self.take(message)
+
+    def take(self, message: Any) -> None:
         self.version, found, addresses = read_targets(message)
         self.log(f"discovery rev={self.version} kind={found.kind} entries={len(found.entries)}")
         self.tell(found, addresses)
+
+
+class Etcd(Discovery):
+    """The same list kept in etcd, one key for each engine, its value in the form of discovery's own entries.
+
+    Read over etcd's JSON gateway: a range for the whole list, then a watch from the revision after it. A
+    watch that was compacted away, or that has been quiet for long, starts again with the list.
+    """
+
+    quiet = 10 * SECOND  # etcd says nothing while nothing changes, so a dead connection shows only so
+
+    def __init__(self, loop: Loop, source: EtcdSource, told: list[Told], log: Callable[[str], None]):
+        super().__init__(loop, source.address, told, log)
+        start = source.prefix.encode()
+        self.prefix, self.listed_at = start, -1
+        self.keys = {"key": encode(start), "range_end": encode(after(start))}
+
+    def watch(self) -> None:
+        revision = self.read_list()
+        create = {**self.keys, "start_revision": str(revision + 1)}
+        try:
+            for line in self.lines("POST", "/v3/watch", json.dumps({"create_request": create}).encode()):
+                self.read(line)
+        except TimedOut:
+            raise Closed("quiet: the list is read again") from None
+
+    def read_list(self) -> int:
+        text = b"".join(self.lines("POST", "/v3/kv/range", json.dumps(self.keys).encode()))
+        try:
+            found = json.loads(text)
+            revision = int(found["header"]["revision"])
+            targets = [self.target(kv) for kv in found.get("kvs") or []]
+        except (KeyError, TypeError, ValueError, AttributeError) as err:
+            raise Junk(f"list: {type(err).__name__} {err}") from None
+        if revision != self.listed_at:
+            self.take({"rev": revision, "all": True, "targets": targets})
+            self.listed_at = revision
+        self.back_off = BACK_OFF
+        return revision
+
+    def read(self, line: bytes) -> None:
+        if not line.strip():
+            return
+        try:
+            result = json.loads(line)["result"]
+            if result.get("canceled"):
+                self.listed_at = -1
+                raise Closed(f"etcd ended the watch, compacted at {result.get('compact_revision')}")
+            events = result.get("events") or []
+            targets = [self.target(e["kv"], e.get("type") == "DELETE") for e in events]
+            if targets:
+                self.take({"rev": int(result["header"]["revision"]), "targets": targets})
+                self.listed_at = self.version
+        except (KeyError, TypeError, ValueError, AttributeError) as err:
+            raise Junk(f"watch: {type(err).__name__} {err}") from None
+
+    def target(self, kv: dict[str, str], deleted: bool = False) -> dict[str, Any]:
+        uid = base64.b64decode(kv["key"], validate=True).removeprefix(self.prefix).decode()
+        if deleted:
+            return {"uid": uid, "state": "Gone"}
+        return {**json.loads(base64.b64decode(kv["value"], validate=True)), "uid": uid}
+
+
+def encode(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+def after(prefix: bytes) -> bytes:
+    """The first key after those that begin with the prefix, as etcd's ranges want it; a zero ends all."""
+    kept = prefix.rstrip(b"\xff")
+    return kept[:-1] + bytes([kept[-1] + 1]) if kept else b"\0"
--- a/claycross/net/embeddings.py
+++ b/claycross/net/embeddings.py
@@ -24,6 +24,7 @@
 KINDS = {400: "invalid_request_error", 401: "authentication_error", 404: "invalid_request_error",
          405: "invalid_request_error", 413: "invalid_request_error", 429: "rate_limit_error"}
 CHARACTERS = 4  # a token
+PRIVATE = {"x-request-id", "authorization"}  # a tenant's key is none of an engine's business
 MOST_TEXTS = 2048
 
 
@@ -124,9 +125,10 @@
     background = True
     wording = staticmethod(error)
 
-    def __init__(self, loop: Loop, core: Core, config: Embeddings):
+    def __init__(self, loop: Loop, core: Core, config: Embeddings,
+                 tenant_of: Callable[[Head], str] = lambda head: ""):
         super().__init__(loop, core, config.listen, config.most_clients)
-        self.config = config
+        self.config, self.tenant_of = config, tenant_of
 
     def take(self, conn: Conn, head: Head, body: bytes, came: int,
              close: bool) -> tuple[Open, Exchange] | None:
@@ -136,6 +138,7 @@
         if head.method != "POST":
             raise Bad(405, "POST only", [("Allow", "POST")])
         name, read = PATHS[path]
+        tenant = self.tenant_of(head)
         try:
             parsed = json.loads(body)
         except (ValueError, RecursionError):
@@ -153,10 +156,10 @@
         exchange = Whole(self, conn, close)
         exchange.deadline = self.loop.now() + left - 20 * MS
         key = f"{self.config.seed:x}-{self.core.last + 1}"
-        headers = [h for h in head.raw if h[0].lower() not in HOP | {"x-request-id"}]
+        headers = [h for h in head.raw if h[0].lower() not in HOP | PRIVATE]
         payload = Outgoing(head.method, head.target, [*headers, ("X-Request-ID", key)], body, streams=False,
                            largest=self.config.largest_answer, background=True, whole=whole)
-        arrival = Arrival(0, name, max(0, left), tokens, tenant=head.get("x-tenant-id"))
+        arrival = Arrival(0, name, max(0, left), tokens, tenant=tenant)
         return self.core.arrive(arrival, key, payload, exchange), exchange
 
     def time_left(self, head: Head, name: str) -> int:
--- a/claycross/net/platform.py
+++ b/claycross/net/platform.py
@@ -236,7 +236,7 @@
              close: bool) -> tuple[Open, Exchange] | None:
         path = head.target.partition("?")[0]
         if path == "/-/ready":
-            if head.method not in ("GET", "HEAD"):
+            if head.method != "GET":
                 raise Bad(405, "GET only", [("Allow", "GET")])
             fine = self.ready()
             conn.send(answer(200 if fine else 503, *plain(200, "ready" if fine else "not ready"),
--- a/claycross/settings.py
+++ b/claycross/settings.py
@@ -121,24 +121,68 @@
     seed: int
 
 
-def read_embeddings(path: str, config: Config) -> Embeddings:
-    """Its file, with the rules (drains, cold machines, what is held) as the gateway's settings have them."""
+@dataclass(slots=True)
+class EtcdSource:
+    """Where the list of engines is kept, if that is etcd."""
+
+    address: tuple[str, int]
+    prefix: str
+
+
+@dataclass(slots=True)
+class Admin:
+    """What the administration API is told by its file."""
+
+    listen: tuple[str, int]
+    token_digest: str
+    tenants: str  # path of the tenants' file
+    most_clients: int
+
+
+def read_toml(path: str) -> Fields:
     try:
         with open(path, "rb") as file:
-            raw = tomllib.load(file)
+            return tomllib.load(file)
     except OSError as err:
-        raise BadSettings(f"embeddings {path}: {err.strerror}") from None
+        raise BadSettings(f"{path}: {err.strerror}") from None
     except ValueError as err:
-        raise BadSettings(f"embeddings {path} is not TOML: {err}") from None
+        raise BadSettings(f"{path} is not TOML: {err}") from None
+
+
+def read_etcd(path: str) -> EtcdSource:
+    raw = read_toml(path)
+    try:
+        return EtcdSource(read_address(raw["endpoint"], "endpoint"), str(raw["prefix"]))
+    except KeyError as err:
+        raise BadSettings(f"{path}: {err} is missing") from None
+
+
+def read_admin(path: str) -> Admin:
+    raw = read_toml(path)
+    try:
+        token = str(raw["token_sha256"])
+        if len(token) != 64 or set(token) - set("0123456789abcdef"):
+            raise BadSettings(f"{path}: token_sha256 must be 64 hexadecimal digits; it is off without")
+        return Admin(read_address(raw["listen"], "listen"), token, str(raw["tenants"]),
+                     max(1, int(raw.get("most_clients", 8))))
+    except KeyError as err:
+        raise BadSettings(f"{path}: {err} is missing") from None
+    except (TypeError, ValueError) as err:
+        raise BadSettings(f"{path}: {err}") from None
+
+
+def read_embeddings(path: str, config: Config) -> Embeddings:
+    """Its file, with the rules (drains, cold machines, what is held) as the gateway's settings have them."""
+    raw = read_toml(path)
     try:
         classes = {name: i.ClassSpec(name, int(c["aim_ms"]) * 1_000_000, int(c["deadline_ms"]) * 1_000_000,
                                      worth=float(c.get("worth", 1)), effect="safe", streaming=False)
                    for name, c in raw["classes"].items()}
         if missing := {"embeddings", "rerank"} - classes.keys():
-            raise BadSettings(f"embeddings {path}: class {min(missing)} is missing")
+            raise BadSettings(f"{path}: class {min(missing)} is missing")
         kinds = [str(k) for k in raw["kinds"]]
         if shared := set(kinds) & config.settings.roles.keys():
-            raise BadSettings(f"embeddings {path}: kind {min(shared)} serves chat")
+            raise BadSettings(f"{path}: kind {min(shared)} serves chat")
         settings = replace(
             config.settings, classes=classes, roles=dict.fromkeys(kinds, "both"), tenants={},
             memory=dict.fromkeys(kinds, int(raw["memory_tokens"])), max_attempts=int(raw["attempts"]),
@@ -147,10 +191,10 @@
         names = ("most_open", "most_clients", "largest_answer_kib", "attempts", "memory_tokens")
         bounds = {name: int(raw[name]) for name in names}
         if low := [name for name, value in bounds.items() if value < 1]:
-            raise BadSettings(f"embeddings {path}: {low[0]} must be over 0")
+            raise BadSettings(f"{path}: {low[0]} must be over 0")
         return Embeddings(read_address(raw["listen"], "listen"), settings, bounds["most_open"],
                           bounds["most_clients"], bounds["largest_answer_kib"] * 1024, config.seed)
     except KeyError as err:
-        raise BadSettings(f"embeddings {path}: {err} is missing") from None
+        raise BadSettings(f"{path}: {err} is missing") from None
     except (TypeError, ValueError, AttributeError) as err:
-        raise BadSettings(f"embeddings {path}: {err}") from None
+        raise BadSettings(f"{path}: {err}") from None
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import hashlib
 import json
 import os
 import pathlib
@@ -289,7 +290,8 @@
     release: bool = False
     embeddings: dict | None = None  # changes to the front's file
     settings: dict = field(default_factory=dict)  # changes to `permissions`
-    knows: bool = True  # whether it starts with the list
+    etcd: Server | None = None  # the source of the list instead of discovery
+    admin: str = ""  # the operator's token
 
     def __enter__(self):
         self.discovery = Discovery().start()
@@ -303,7 +305,7 @@
         settings["permissions"] |= {
             "conn-idle": 4 * 10**9, "dial-timeout": 5 * 10**9, "retry-after": True, "max-retry-after": 10**9,
             "may-cancel": True, "send-cap": 5, **self.settings}
-        known = list(self.discovery.targets.values()) if self.knows else []
+        known = list(self.discovery.targets.values())
         config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "1f",
                   "limits": {"sockets": 512}, "known": {"rev": 1, "all": True, "targets": known},
                   "settings": settings}
@@ -316,14 +318,24 @@
                 text = re.sub(rf"(?m)^{name} = \S+", f"{name} = {value}", text)
             (self.folder / "embeddings.toml").write_text(text)
             command += ["--embeddings", str(self.folder / "embeddings.toml")]
+        if self.admin:
+            (self.folder / "admin.toml").write_text(
+                f'listen = "127.0.0.1:0"\ntenants = "{self.folder}/tenants.json"\n'
+                f'token_sha256 = "{hashlib.sha256(self.admin.encode()).hexdigest()}"\n')
+            command += ["--admin", str(self.folder / "admin.toml")]
+        if self.etcd:
+            text = (ROOT / "deploy" / "etcd.toml").read_text()
+            (self.folder / "etcd.toml").write_text(text.replace("127.0.0.1:2379", self.etcd.address))
+            command += ["--etcd", str(self.folder / "etcd.toml")]
         self.log_path = self.folder / "log"
         with self.log_path.open("w") as log:
             env = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
             self.process = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log, env=env)
         line = eventually(lambda: re.search(r"serving listen=(\S+).*", self.log()))
-        self.address, found = line[1], re.search(r"embeddings=(\S+)", line[0])
-        self.embeddings_address = found[1] if found else ""
-        eventually(lambda: self.discovery.watches)
+        addresses = dict(re.findall(r"(\w+)=(\S+)", line[0]))
+        self.address, self.embeddings_address = addresses["listen"], addresses.get("embeddings")
+        self.admin_address = addresses.get("admin")
+        eventually(lambda: self.etcd or self.discovery.watches)
         return self
 
     def __exit__(self, kind, *_):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -440,3 +440,26 @@
 def test_nothing_is_served_from_another_path(site):
     s = site(Engine("p"), Engine("d"))
     assert post(s.address, "/v1/embeddings", {"model": "m", "input": "x"}).status == 404
+
+
+def test_nothing_is_done_when_there_is_nothing_to_do(site):
+    """Guards against a busy loop on sockets whose other sides have all gone away."""
+    s = site(Engine("p", plan=silent), Engine("p"), Engine("d"), release=True)
+    clients = [s.client() for _ in range(6)]
+    for c in clients:
+        chat(c, timeout=1500)
+    for c in clients:
+        c.answer()
+    for server in (*s.engines, s.discovery):
+        server.close()
+    for c in clients:
+        c.__exit__()
+
+    def used():
+        fields = (ROOT / f"/proc/{s.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return int(fields[11]) + int(fields[12])  # hundredths of a second
+    eventually(lambda: "discovery-lost" in s.log())
+    before, start = used(), time.monotonic()
+    while time.monotonic() - start < 1:
+        time.sleep(0.1)
+    assert used() - before < 30
