A stuck log reader, a closing listener and a doubled request id harm no request

Seen by reading: a log line went out by print, which waits while nobody reads the pipe and raises once it is gone, from inside the loop (Gateway.log, Loop.report); lines now go out only where there is room, the rest is counted. At the end of the accepting time the listener was closed over connections that the kernel had taken, and idle connections over a request just come (Listener.close, Front.close); both are looked at first. A request id under way could run twice; it is answered 409. Load reports that stand in a stream are read.

--- a/claycross/__main__.py
+++ b/claycross/__main__.py
@@ -17,7 +17,7 @@
 
 from .core import Core
 from .interface import EngineList, Settings
-from .invariant import broken
+from .invariant import broken, say, unwritten
 from .net.admin import AdminFront, Tenants
 from .net.discovery import Address, Discovery, Etcd
 from .net.embeddings import EmbeddingsFront
@@ -97,12 +97,12 @@
         self.core.list(EngineList("failed"))
 
     def log(self, text: str) -> None:
-        print(f"{self.loop.now() / SECOND:.3f} {self.config.name} {text}", flush=True)
+        say(f"{self.loop.now() / SECOND:.3f} {self.config.name} {text}")
 
     def stats(self) -> None:
         loop = self.loop
         self.log(f"stats late_max_ms={loop.worst_late / MS:.1f} late_rounds={loop.late_rounds} "
-                 f"errors={loop.errors} broken={sum(broken.values())}")
+                 f"errors={loop.errors} broken={sum(broken.values())} unwritten={unwritten.total()}")
         for core, side, front in zip(self.cores, self.sides, self.fronts, strict=False):
             pool, counts = side.pool, " ".join(f"{k}={v}" for k, v in sorted(core.counts.items()))
             self.log(f"stats-{core.name} open={len(core.open)} clients={len(front.clients)} "
--- a/claycross/net/engines.py
+++ b/claycross/net/engines.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -20,6 +21,7 @@
 Address = tuple[str, int]
 IDLE_SHARE = 0.5  # of the time after which engines close an unused connection
 CALL_WAIT = 400 * MS  # for the answer of a call that carries no request
+REPORT = re.compile(rb"(?mi)^: *X-Server-Load: *([^\r\n]*)")  # as it stands in a stream
 SMALL = 65_536  # largest answer that is not passed on
 STREAM = 1 << 62
 HOP = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
@@ -176,7 +178,7 @@
                     if head.status == 200 and out.streams:
                         whole = events.feed(part.data)
                         if whole and (t.began or self.core.began(t)):
-                            usage = whole if b'"usage"' in whole else usage
+                            usage = whole if b'"usage"' in whole or REPORT.search(whole) else usage
                             self.core.piece(t, whole)
                         if t.over:
                             raise Closed("nobody waits")
@@ -197,7 +199,8 @@
                 return "error", 0, report
             if events.buffer:
                 self.core.piece(t, events.buffer)
-            return "ok", cached(usage), report
+            found = REPORT.search(usage + events.buffer)
+            return "ok", cached(usage), self.report(found[1].decode("latin-1")) if found else report
         if status == 200:
             if not out.whole(body):  # a box that drains may answer with what it had done so far
                 self.core.log(f"engine-partial engine={t.engine} bytes={len(body)}")
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -20,6 +20,8 @@
 
 from greenlet import getcurrent, greenlet
 
+from ..invariant import say
+
 MS, SECOND = 1_000_000, 1_000_000_000
 TICK, SLOTS = 2 * MS, 512  # of the wheel: one turn is about a second
 LATE = 40 * MS  # a round or a timer later than this is logged
@@ -124,7 +126,7 @@
         self.errors += 1
         kind, err, trace = sys.exc_info()
         at = " < ".join(f"{f.name}:{f.lineno}" for f in reversed(traceback.extract_tb(trace)[-4:]))
-        print(f"unexpected where={where} error={kind.__name__}: {err} at={at}", file=sys.stderr, flush=True)
+        say(f"unexpected where={where} error={kind.__name__}: {err} at={at}", 2)
 
     def wake(self, task: Task | None) -> None:
         if task is not None and task.parked:
@@ -259,6 +261,7 @@
 
     def close(self) -> None:
         if self.open:
+            self.ready(0)  # what the kernel has taken for us would be reset
             self.open = False
             if not self.paused:
                 self.loop.watch(self.sock.fileno(), 0, self.ready)
--- a/claycross/net/platform.py
+++ b/claycross/net/platform.py
@@ -98,7 +98,7 @@
         """Under the bound; at it, the connection that has been idle longest makes way."""
         if len(self.clients) < self.limit:
             return True
-        idle = next((c for c, waits in self.clients.items() if waits), None)
+        idle = next((c for c, waits in self.clients.items() if waits and c.quiet()), None)
         if idle is None:
             return False
         del self.clients[idle]
@@ -117,8 +117,8 @@
         """No further connections; those that wait between requests are closed."""
         self.draining = True
         self.listener.close()
-        for conn in [c for c, waits in self.clients.items() if waits]:
-            conn.close()
+        for conn in [c for c, waits in self.clients.items() if waits and c.quiet()]:
+            conn.close()  # one on which a request has come is answered first
 
     def serve(self, conn: Conn) -> None:
         messages = Messages()
@@ -253,8 +253,10 @@
 
     def arrival(self, head: Head, came: int) -> Arrival:
         key, name = head.get("x-request-id"), head.get("x-priority-class")
-        if not key or len(key) > 128 or not all(c.isalnum() or c in "-_.~:" for c in key):
+        if not key or len(key) > 128 or not all(c.isascii() and (c.isalnum() or c in "-_.~:") for c in key):
             raise Bad(400, "X-Request-ID is missing or malformed")
+        if any(r.key == key for r in self.core.open.values()):
+            raise Bad(409, "a request with this X-Request-ID is under way")  # it must not run twice
         spec = self.core.settings.classes.get(name)
         timeout = head.get("x-timeout-ms") or str((spec.give_up if spec else NO_TIMEOUT) // MS)
         attrs = dict(pair.strip().partition("=")[::2] for pair in head.get("x-attrs").split(",") if pair)
