Ask discovery at the start where the module has to ask

Seen in a new test: with membership-mode ask, the gateway never watched. The module's first action is to subscribe, and Gateway.__init__ handed it its first events before Core.subscribe was set, so the action did nothing. The order is turned round. Ruled out: the module, whose first reply holds the action, and the platform, where changes are pushed and this path is not taken.

Conclusion: deployments that ask are served too.

--- a/claycross/__main__.py
+++ b/claycross/__main__.py
@@ -62,6 +62,11 @@
         else:
             self.discovery = Discovery(self.loop, config.discovery, [self.told], self.log)
         self.discovery.start_from(config.known)
+        # Before the first flush: where the module has to ask, its first action is to do so.
+        if config.settings.ask_for_list and not etcd:
+            self.core.subscribe = lambda: self.loop.spawn(self.discovery.watch_once, self.list_failed)
+        else:
+            self.loop.spawn(self.discovery.watch_for_ever)
         for core in self.cores:
             self.loop.after_round.append(core.flush)
             core.flush()
@@ -72,10 +77,6 @@
             self.fronts.append(AdminFront(self.loop, self.cores[1], admin, tenants, self.status))
         elif embeddings:
             self.fronts.append(EmbeddingsFront(self.loop, self.cores[1], embeddings))
-        if config.settings.ask_for_list and not etcd:
-            self.core.subscribe = lambda: self.loop.spawn(self.discovery.watch_once, self.list_failed)
-        else:
-            self.loop.spawn(self.discovery.watch_for_ever)
         self.loop.later(STATS, self.stats)
 
     def add_core(self, name: str, settings: Settings, connections: int) -> Core:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -292,6 +292,7 @@
     settings: dict = field(default_factory=dict)  # changes to `permissions`
     etcd: Server | None = None  # the source of the list instead of discovery
     admin: str = ""  # the operator's token
+    mode: str = "push"  # of discovery
 
     def __enter__(self):
         self.discovery = Discovery().start()
@@ -302,6 +303,7 @@
         settings["categories"] = [
             {"name": name, "slo": 10**9, "give-up": 6 * 10**9, "effect": effect, "streaming": True}
             for name, effect in (("browse", "safe"), ("licence", "unsafe"))]
+        settings["membership-mode"] = self.mode
         settings["permissions"] |= {
             "conn-idle": 4 * 10**9, "dial-timeout": 5 * 10**9, "retry-after": True, "max-retry-after": 10**9,
             "may-cancel": True, "send-cap": 5, **self.settings}
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -307,8 +307,9 @@
     assert s.chat().status == 200
 
 
-def test_the_known_list_serves_while_discovery_is_silent_and_the_watch_comes_back(site):
-    s = site(Engine("p"), Engine("d"))
+@pytest.mark.parametrize("mode", ["push", "ask"])
+def test_the_known_list_serves_while_discovery_is_silent_and_the_watch_comes_back(site, mode):
+    s = site(Engine("p"), Engine("d"), mode=mode)
     watches = list(s.discovery.watches)
     s.discovery.rev = 7
     for wire in watches:
