SIGHUP moves to the new discovery instead of ending the program

Lines at fault: `Gateway.run` in __main__.py registered SIGTERM and SIGINT only, so the default action ended the process; `Discovery` could watch one address for its lifetime (`lines` and `watch_for_ever`). Checked: PROXY_DISCOVERY names the old address for as long as the process lives, so a reload must not read it; the watch at the old address is kept until the new one has told something. Ruled out: a crash in our code (no traceback, status 128 + 1). A file that can't be read leaves the old settings in force with a line `reload-failed`; what is new in it apart from discovery is named in the log and counts from the next start.

--- a/claycross/__main__.py
+++ b/claycross/__main__.py
@@ -1,7 +1,7 @@
 """The command line, and the putting together of the gateway's parts.
 
-Owns the process: its configuration, its start, its end on SIGTERM and its log. It must never handle
-a request itself.
+Owns the process: its configuration, its start, the reload on SIGHUP, its end on SIGTERM and its log. It must
+never handle a request itself, nor end because a new configuration can't be used.
 """
 
 from __future__ import annotations
@@ -10,7 +10,8 @@
 import os
 import signal
 import sys
-from dataclasses import replace
+from collections.abc import Callable
+from dataclasses import fields, replace
 from typing import Annotated
 
 import typer
@@ -47,6 +48,7 @@
     def __init__(self, config: Config, embeddings: Embeddings | None = None, admin: Admin | None = None,
                  etcd: EtcdSource | None = None):
         self.config, self.loop = config, Loop()
+        self.reread: Callable[[], tuple[Config, Address]] | None = None  # the files anew, and whom to watch
         self.stopping = False
         sockets = config.sockets - 48  # some are for the process itself, discovery and what is being accepted
         if embeddings:
@@ -64,9 +66,9 @@
         self.discovery.start_from(config.known)
         # Before the first flush: where the module has to ask, its first action is to do so.
         if config.settings.ask_for_list and not etcd:
-            self.core.subscribe = lambda: self.loop.spawn(self.discovery.watch_once, self.list_failed)
+            self.core.subscribe = self.watch
         else:
-            self.loop.spawn(self.discovery.watch_for_ever)
+            self.watch()
         for core in self.cores:
             self.loop.after_round.append(core.flush)
             core.flush()
@@ -94,6 +96,12 @@
             side.addresses.update(addresses)
             core.list(EngineList(found.kind, [replace(entry) for entry in found.entries]))
 
+    def watch(self) -> None:
+        if self.config.settings.ask_for_list and not isinstance(self.discovery, Etcd):
+            self.loop.spawn(self.discovery.watch_once, self.list_failed)
+        else:
+            self.loop.spawn(self.discovery.watch_for_ever)
+
     def list_failed(self) -> None:
         self.core.list(EngineList("failed"))
 
@@ -118,6 +126,23 @@
                     "open": len(core.open), "engines_listed": len(core.listed), "counts": core.counts}
                     for core in self.cores}}
 
+    def reload(self) -> None:
+        """SIGHUP: moves to the discovery that the files name now. What else they hold counts from the next
+        start on; requests notice nothing. A file that can't be used changes nothing."""
+        try:
+            new, source = self.reread()
+        except BadSettings as err:
+            self.log(f"reload-failed the old settings stay in force: {err}")
+            return
+        old = self.config
+        waits = [f.name for f in fields(Config) if f.name not in ("name", "discovery", "seed", "known")
+                 and getattr(new, f.name) != getattr(old, f.name)]
+        moved = self.discovery.move(source)
+        self.log(f"reloaded discovery={source[0]}:{source[1]} moved={moved} "
+                 f"waits={','.join(waits) or 'none'}")
+        if moved:
+            self.watch()
+
     def stop(self) -> None:
         """SIGTERM: goes on accepting for a while, then ends as soon as nothing is owed."""
         if self.stopping:
@@ -137,7 +162,8 @@
         self.loop.stop()
 
     def run(self) -> None:
-        self.loop.on_signals([signal.SIGTERM, signal.SIGINT], self.stop)
+        self.loop.on_signals(
+            {signal.SIGTERM: self.stop, signal.SIGINT: self.stop, signal.SIGHUP: self.reload})
         gc.collect()
         gc.freeze()
         host, port = self.fronts[0].listener.address()
@@ -167,7 +193,8 @@
 @app.command()
 def serve(config: ConfigOption, embeddings: EmbeddingsOption = "", admin: AdminOption = "",
           etcd: EtcdOption = "") -> None:
-    """Runs the gateway until SIGTERM."""
+    """Runs the gateway until SIGTERM; SIGHUP reads the configuration anew."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload: it must end nothing
     files = load(config, embeddings, admin, etcd)
     try:
         gateway = Gateway(*files)
@@ -176,6 +203,12 @@
     except OSError as err:
         where = " or ".join(f"{f.listen[0]}:{f.listen[1]}" for f in files[:3] if f)
         complain(f"cannot listen on {where}: {err.strerror}")
+
+    def reread() -> tuple[Config, Address]:
+        env = {k: v for k, v in os.environ.items() if k != "PROXY_DISCOVERY"}  # the start's; the file is new
+        new = read_config(config, env)
+        return new, read_etcd(etcd).address if etcd else new.discovery
+    gateway.reread = reread
     gateway.run()
 
 
--- a/claycross/net/discovery.py
+++ b/claycross/net/discovery.py
@@ -1,7 +1,8 @@
 """The list of engines: first as it was last known, then as a watch on discovery, or on etcd, tells it.
 
-Owns the reading of discovery's messages and the reconnecting. It must never drop the list it has because
-discovery is silent, and never let junk from there become more than a logged retry.
+Owns the reading of discovery's messages, the reconnecting, and the move to another address on reload. It must
+never drop the list it has because discovery is silent, let go of an address that still tells before the next
+one does, or let junk from there become more than a logged retry.
 """
 
 from __future__ import annotations
@@ -54,8 +55,10 @@
 
     def __init__(self, loop: Loop, address: Address, told: list[Told], log: Callable[[str], None]):
         self.loop, self.address, self.told, self.log = loop, address, told, log
-        self.version, self.heard, self.back_off = 0, 0, BACK_OFF
-        self.running = False
+        self.version, self.back_off = 0, BACK_OFF
+        self.turn = self.heard = 0  # moves to another address so far, and the last that has told something
+        self.conns: dict[int, Conn] = {}  # by turn: two while a move is on
+        self.asking = -1  # the turn in which the module's watch is under way
 
     def start_from(self, known: Any) -> None:
         """The list as this gateway had it last."""
@@ -73,26 +76,45 @@
             told(found, addresses)
 
     def watch_for_ever(self) -> None:
-        while True:
+        turn = self.turn
+        while turn == self.turn:
             try:
                 self.watch()
             except (Closed, Malformed, Junk) as err:
+                if turn != self.turn:
+                    return
                 self.log(f"discovery-lost rev={self.version} wait_ms={self.back_off // MS} {err}")
             self.loop.sleep(self.back_off)
             self.back_off = min(2 * self.back_off, LONGEST_BACK_OFF)
 
     def watch_once(self, lost: Callable[[], None]) -> None:
         """For deployments in which the module asks: it hears of the end of its watch and asks again."""
-        if self.running:
+        if self.asking == self.turn:
             return
-        self.running = True
+        turn = self.asking = self.turn
         try:
             self.watch()
         except (Closed, Malformed, Junk) as err:
-            self.log(f"discovery-lost rev={self.version} {err}")
+            if turn == self.turn:
+                self.log(f"discovery-lost rev={self.version} {err}")
         finally:
-            self.running = False
-            lost()
+            if turn == self.turn:
+                self.asking = -1
+                lost()
+
+    def move(self, address: Address) -> bool:
+        """The next watch is at this address; whoever moves it starts that. False: it is there already.
+
+        The watch at the old address goes on until the new one has told something: nothing is missed between
+        the two, and a new address that does not answer costs nothing while the old one stands.
+        """
+        if address == self.address:
+            return False
+        self.address, self.back_off = address, BACK_OFF
+        for turn in [t for t in self.conns if t != self.heard]:  # a move that never got so far
+            self.conns[turn].close()
+        self.turn += 1
+        return True
 
     def watch(self) -> None:
         """One watch, until it ends; it always ends in an exception."""
@@ -102,9 +124,13 @@
 
     def lines(self, method: str, target: str, body: bytes = b"") -> Iterator[bytes]:
         """The lines of one answer as they come, on a connection of its own."""
-        conn = Conn.dial(self.loop, self.address, DIAL)
+        turn, address = self.turn, self.address
+        conn = Conn.dial(self.loop, address, DIAL)
         try:
-            headers = [("Host", f"{self.address[0]}:{self.address[1]}")]
+            if turn != self.turn:
+                raise Closed("it has moved meanwhile")
+            self.conns[turn] = conn
+            headers = [("Host", f"{address[0]}:{address[1]}")]
             conn.send(request(method, target, headers, body), DIAL)
             messages, line = Messages(responses=True, max_body=1 << 62), b""
             while data := conn.recv(self.quiet):
@@ -113,6 +139,10 @@
                         raise Junk(f"status {part.status}")
                     if isinstance(part, Body):
                         *whole, line = (line + part.data).split(b"\n")
+                        if whole and turn > self.heard:
+                            self.heard = turn
+                            for old in [c for t, c in self.conns.items() if t < turn]:
+                                old.close()
                         yield from whole
                         if len(line) > MAX_LINE:
                             raise Junk("a line without end")
@@ -122,6 +152,8 @@
             raise Closed("the connection ended")
         finally:
             conn.close()
+            if self.conns.get(turn) is conn:
+                del self.conns[turn]
 
     def read(self, line: bytes) -> None:
         self.back_off = BACK_OFF
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -203,18 +203,18 @@
         except Exception:
             self.report(getattr(call, "__qualname__", "call"))
 
-    def on_signals(self, numbers: list[int], call: Callable[[], None]) -> None:
-        """Runs `call` in the loop, not in the handler."""
+    def on_signals(self, calls: dict[int, Callable[[], None]]) -> None:
+        """Runs the call of each signal in the loop, not in the handler."""
         self.wakeup = socket.socketpair()
         for end in self.wakeup:
             end.setblocking(False)
         signal.set_wakeup_fd(self.wakeup[1].fileno(), warn_on_full_buffer=False)
-        for number in numbers:
+        for number in calls:
             signal.signal(number, lambda *_: None)
 
         def ready(_: int) -> None:
-            self.wakeup[0].recv(512)
-            call()
+            for number in set(self.wakeup[0].recv(512)) & calls.keys():
+                self.guard(calls[number])
         self.watch(self.wakeup[0].fileno(), select.POLLIN, ready)
 
 
--- a/claycross/settings.py
+++ b/claycross/settings.py
@@ -90,7 +90,7 @@
             raw = json.load(file)
     except OSError as err:
         raise BadSettings(f"configuration {path}: {err.strerror}") from None
-    except ValueError as err:
+    except (ValueError, RecursionError) as err:
         raise BadSettings(f"configuration {path} is not JSON: {err}") from None
     if not isinstance(raw, dict):
         raise BadSettings(f"configuration {path} must hold an object")
@@ -105,7 +105,7 @@
             dial_timeout=int(settings["permissions"].get("dial-timeout", 250_000_000)))
     except KeyError as err:
         raise BadSettings(f"configuration {path}: {err} is missing") from None
-    except (TypeError, ValueError, AttributeError) as err:
+    except (TypeError, ValueError, AttributeError, OverflowError) as err:
         raise BadSettings(f"configuration {path}: {err}") from None
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -311,7 +311,7 @@
         config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "1f",
                   "limits": {"sockets": 512}, "known": {"rev": 1, "all": True, "targets": known},
                   "settings": settings}
-        (self.folder / "config.json").write_text(json.dumps(config))
+        self.reconfigure(config)
         command = [sys.executable, *(["-O"] if self.release else []), "-m", "claycross", "serve",
                    "--config", str(self.folder / "config.json")]
         if self.embeddings is not None:
@@ -332,6 +332,7 @@
         self.log_path = self.folder / "log"
         with self.log_path.open("w") as log:
             env = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
+            env["PROXY_DISCOVERY"] = self.discovery.address  # as the platform does; a reload must see past it
             self.process = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log, env=env)
         line = eventually(lambda: re.search(r"serving listen=(\S+).*", self.log()))
         addresses = dict(re.findall(r"(\w+)=(\S+)", line[0]))
@@ -350,6 +351,15 @@
             assert "Traceback" not in self.log() and "unexpected" not in self.log(), self.log()
             assert "invariant" not in self.log(), self.log()
 
+    def reconfigure(self, config, hup=False):
+        """Replaces the configuration file, whole; with `hup`, tells the gateway so."""
+        self.config = config
+        text = config if isinstance(config, str) else json.dumps(config)
+        (self.folder / "new.json").write_text(text)
+        os.replace(self.folder / "new.json", self.folder / "config.json")
+        if hup:
+            self.process.send_signal(signal.SIGHUP)
+
     def log(self):
         return self.log_path.read_text()
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from tests.standins import EVENTS, NEVER, ROOT, Client, Engine, Site, chat, eventually, post
+from tests.standins import EVENTS, NEVER, ROOT, Client, Discovery, Engine, Site, chat, eventually, post
 
 WHOLE = b"".join(EVENTS)
 
@@ -434,6 +434,62 @@
     assert s.process.wait(8) == 0 and "stopped" in s.log()
 
 
+@pytest.fixture
+def second_discovery():
+    found = Discovery()
+    yield found
+    found.close()
+
+
+@pytest.mark.parametrize(("release", "mode"), [(False, "push"), (True, "push"), (False, "ask")])
+def test_sighup_moves_to_the_new_discovery_with_requests_running(site, second_discovery, release, mode):
+    """It ended the program once: the signal had no handler, and what was running was lost."""
+    go, new = threading.Event(), Engine("p")
+
+    def plan(engine, request, wire):
+        wire.begin()
+        wire.event(EVENTS[0])
+        assert go.wait(10)
+        for data in EVENTS[1:]:
+            wire.event(data)
+        wire.sock.sendall(b"0\r\n\r\n")
+    old = Engine("p")
+    s = site(old, Engine("d", plan=plan), release=release, mode=mode)
+    with s.client() as busy:
+        chat(busy)
+        assert busy.file.readline().startswith(b"HTTP/1.1 200")
+        s.discovery.sock.close()  # takes no new connection, as the platform's old address
+        s.reconfigure(s.config | {"discovery": second_discovery.address}, hup=True)
+        eventually(lambda: "reloaded" in s.log())
+        # The new one says nothing for a while: the old one is still heard meanwhile.
+        s.discovery.tell(s.engines[1].target())
+        eventually(lambda: "rev=2" in s.log())
+        second_discovery.rev, second_discovery.targets = 3, dict(s.discovery.targets)
+        second_discovery.start()
+        eventually(lambda: second_discovery.watches and not s.discovery.watches)
+        assert second_discovery.froms == [1]
+        new.start()
+        second_discovery.tell(old.target("Terminating"), new.target())
+        eventually(lambda: "rev=4" in s.log())
+        go.set()
+        assert s.chat().status == 200 and len(old.asked) == 1 and len(new.asked) == 1
+        assert busy.file.read(5) and s.process.poll() is None
+    s.process.send_signal(signal.SIGHUP)  # on the way out, too
+    s.process.send_signal(signal.SIGTERM)
+    new.close()
+    assert s.process.wait(8) == 0
+
+
+@pytest.mark.parametrize("text", ["{", "{}", "[" * 100_000, '{"settings":{},"listen":"x"}'])
+def test_a_new_configuration_that_cannot_be_read_changes_nothing(site, text):
+    s = site(Engine("p"), Engine("d"), release=True)
+    s.reconfigure(text, hup=True)
+    eventually(lambda: "reload-failed" in s.log())
+    s.discovery.tell(s.engines[0].target())
+    eventually(lambda: "rev=2" in s.log())
+    assert s.chat().status == 200 and len(s.discovery.froms) == 1
+
+
 @pytest.mark.parametrize(("text", "word"), [
     ("{", "JSON"), ("[]", "object"), ("{}", "missing"), ('{"settings":{},"listen":"x"}', "listen"),
     ('{"settings":{},"listen":"a:1","discovery":"a:1"}', "family-info"), (None, "No such file")])
