Bad clients end at the front, spoilt answers are known early, over requests leave nothing

Checked by an experiment (heads of what engines answer with 400 written to the log): all of them name classes that don't exist; `Platform.arrival` let them through as unsafe ones, `Engines.outcome` made the 400 an `error`, tried it again and counted it against a good engine. Lines at fault for memory: `Core.arrive` kept each request until its deadline's timer, `Open.tries` and `Try.request` name each other, so bodies waited for the collector; `Front.read` waited for ever on idle connections and 20 s on half requests. Ruled out: the module's tables (they age in 30 s). Also: `Messages` waited for a line end before it judged a head or a chunk's size, a chunk might hold 4 GB, an empty Transfer-Encoding passed as none, `Engines.small` gave back connections with bytes left over, reports might hold nan.

--- a/claycross/core.py
+++ b/claycross/core.py
@@ -18,6 +18,7 @@
 SPARE = 20 * MS  # after a deadline, until a request that the module left unanswered is failed here
 RELEASE_AGAIN = (40 * MS, 80 * MS, 160 * MS, 320 * MS, 640 * MS, 1280 * MS)  # between tries to let go
 DOUBT_AGAIN = 60 * MS  # a read that was cut off may have ended well while the call to let go was on its way
+STILL, STILL_RESUMED = 15 * SECOND, 4 * SECOND  # without a word on a stream, until it is taken for broken
 ROUNDS = 50  # of events that follow from actions, within one moment
 
 CERTAIN = ("connect_failed", "full", "moot", "stateless")  # outcomes that leave nothing held there
@@ -57,6 +58,7 @@
         self.stream: Try | None = None  # the attempt that belongs to the client
         self.holders: dict[str, bool] = {}  # engines that may hold something; True: a read was cut off there
         self.out = 0  # attempts whose outcome the module has not been told
+        self.guard: Any = None  # the timer of its deadline
 
 
 class Try:
@@ -79,6 +81,7 @@
         self.subscribe: Callable[[], None] = lambda: None
         self.events: list[i.Event] = []
         self.open: dict[int, Open] = {}
+        self.keys: dict[str, int] = {}  # ids of open requests -> their numbers
         self.listed: dict[str, i.EngineEntry] = {}
         self.last = 0  # number of the last request
         self.leases = 0  # calls to let go that are under way
@@ -120,12 +123,16 @@
         arrival.request = self.last
         r = Open(self.last, key, payload, reply, self.clock.now() + arrival.left)
         self.open[r.number] = r
+        self.keys[key] = r.number
         self.count("asked")
         self.push(arrival)
         # Guards the rule of one answer in time, should the module ever forget a request.
-        self.clock.later(arrival.left + SPARE, lambda: self.overdue(r))
+        r.guard = self.clock.later(arrival.left + SPARE, lambda: self.overdue(r))
         return r
 
+    def under_way(self, key: str) -> bool:
+        return key in self.keys
+
     def overdue(self, r: Open) -> None:
         if not r.over and not r.stream:
             self.answer(r, "overdue", r.reply.fail)
@@ -176,6 +183,19 @@
         if not t.over:
             t.request.reply.piece(data)
 
+    def patience(self, t: Try) -> int:
+        """How long a stream that began may bring nothing; 0: the attempt's time-out counts. Where a client
+        asks for the rest of a stream that broke, it is served sooner so than by a machine gone silent."""
+        return (STILL_RESUMED if self.settings.resume else STILL) if t.began else 0
+
+    def rejected(self, t: Try, status: int) -> None:
+        """An engine can't use the request. It is over, and the engine is none the worse for it."""
+        r = t.request
+        if not r.over and not r.stream:
+            self.log(f"engine-rejects engine={t.engine} request={r.key} status={status}")
+            self.answer(r, "rejected", r.reply.fail)
+            self.push(i.Abandoned(r.number))
+
     def done(self, t: Try, result: str, kept: int = 0, report: i.LoadReport | None = None) -> None:
         """How an attempt ended, unless it was over before. A stream's end goes on to its client."""
         if t.over:
@@ -207,6 +227,13 @@
         r = self.open.get(number)
         if r and r.over and not r.out:
             del self.open[number]
+            if self.keys.get(r.key) == number:
+                del self.keys[r.key]
+            # Guards memory: requests and attempts name each other, and the timer names both, so that bodies
+            # of requests long over would wait for the collector of cycles, or for deadlines.
+            r.guard.cancel()
+            r.payload = None
+            r.tries.clear()
             if not invariant(not r.holders, "let-go", f"request {r.key} ended holding at {list(r.holders)}"):
                 self.let_go(i.Release(number), r)
 
--- a/claycross/net/discovery.py
+++ b/claycross/net/discovery.py
@@ -132,7 +132,7 @@
             self.conns[turn] = conn
             headers = [("Host", f"{address[0]}:{address[1]}")]
             conn.send(request(method, target, headers, body), DIAL)
-            messages, line = Messages(responses=True, max_body=1 << 62), b""
+            messages, line = Messages(responses=True, max_body=1 << 62, max_chunk=MAX_LINE), b""
             while data := conn.recv(self.quiet):
                 for part in messages.feed(data):
                     if isinstance(part, Head) and part.status != 200:
--- a/claycross/net/engines.py
+++ b/claycross/net/engines.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import math
 import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -15,14 +16,18 @@
 from .. import interface as i
 from ..core import Core, Try
 from ..settings import read_report
-from .http1 import Body, End, Events, Head, Malformed, Messages, request
-from .loop import MS, SECOND, Closed, Conn, Loop
+from .http1 import MAX_BODY, Body, End, Events, Head, Malformed, Messages, request
+from .loop import MS, SECOND, Closed, Conn, Loop, TimedOut
 
 Address = tuple[str, int]
 IDLE_SHARE = 0.5  # of the time after which engines close an unused connection
+REST = 3 * MS  # of a connection after use: what its engine sends behind an answer is seen by then
+HALF = 1500 * MS  # for the rest of a head or chunk that has begun: engines write them whole
 CALL_WAIT = 400 * MS  # for the answer of a call that carries no request
 REPORT = re.compile(rb"(?mi)^: *X-Server-Load: *([^\r\n]*)")  # as it stands in a stream
 SMALL = 65_536  # largest answer that is not passed on
+LARGEST_CHUNK = 1 << 20
+UNUSABLE = (400, 404, 405, 413, 422, 431)
 STREAM = 1 << 62
 HOP = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
        "host", "content-length", "expect", "x-timeout-ms"}
@@ -54,8 +59,10 @@
 
     def get(self, address: Address) -> Conn:
         waiting = self.idle.get(address, [])
+        rested = self.loop.now() - REST
         while waiting:
-            conn, _ = waiting.pop()
+            at = next((n for n in range(len(waiting) - 1, -1, -1) if waiting[n][1] <= rested), -1)
+            conn, _ = waiting.pop(at)
             conn.idle = None
             conn.watch()
             if conn.quiet():
@@ -136,7 +143,7 @@
 
     def attempt(self, t: Try) -> tuple[str, int, i.LoadReport | None]:
         out: Outgoing = t.request.payload
-        address = self.addresses.get(t.engine)
+        address = self.addresses.get(t.engine) if self.core.may_go(t) else None
         try:
             if address is None:
                 raise Closed("no address")
@@ -154,7 +161,8 @@
         except Closed:
             self.pool.drop(conn)
             return "connect_failed", 0, None
-        messages = Messages(responses=True, max_body=out.largest)
+        messages = Messages(responses=True, max_body=out.largest, max_chunk=max(MAX_BODY, min(
+            out.largest, LARGEST_CHUNK)))
         try:
             result = self.read(t, out, conn, messages)
         except (Closed, Malformed) as err:
@@ -170,7 +178,7 @@
     def read(self, t: Try, out: Outgoing, conn: Conn, messages: Messages) -> tuple:
         head, body, events, usage = Head(), b"", Events(), b""
         while True:
-            data = conn.recv()
+            data = self.recv(t, conn, messages)
             for part in messages.feed(data) if data else messages.eof():
                 if isinstance(part, Head):
                     head = part
@@ -191,6 +199,17 @@
             if not data:
                 raise Closed("ended before its answer")
 
+    def recv(self, t: Try, conn: Conn, messages: Messages) -> bytes:
+        """Guards against an answer that is spoilt by what never comes: half a head, half a chunk, or nothing
+        more of a stream. Before it began the attempt's own time-out bounds the wait."""
+        half = not messages.between()
+        patience = self.core.patience(t)
+        span = min(HALF, patience or HALF) if half else patience
+        try:
+            return conn.recv(span)
+        except TimedOut:
+            raise Malformed(502, "the rest does not come" if half else "the stream stands still") from None
+
     def outcome(self, t: Try, out: Outgoing, head: Head, body: bytes, events: Events, usage: bytes) -> tuple:
         report = self.report(head.get("x-server-load"))
         status, never = head.status, head.get("x-not-processed") == "1"
@@ -215,19 +234,24 @@
             return "stateless", 0, report
         if status in (503, 504) and never:
             return "full", 0, report
+        if status in UNUSABLE:  # that is how the request is, not how the engine does: no other would take it
+            self.core.rejected(t, status)
+            return "moot", 0, report
         if status != 500:
             self.core.log(f"engine-answer engine={t.engine} status={status}")
         return "error", 0, report
 
     def report(self, text: str) -> i.LoadReport | None:
-        """`name=value` pairs; whatever is no number is passed over."""
+        """`name=value` pairs; whatever is no number that a load can be is passed over."""
         values = {}
         for pair in text.split(","):
             name, _, value = pair.strip().partition("=")
             try:
-                values[name] = float(value)
+                number = float(value)
             except ValueError:
                 continue
+            if math.isfinite(number) and 0 <= number < 1e9:
+                values[name] = number
         return read_report(values)
 
     # ------------------------------------------------------------ calls that carry no request
@@ -248,8 +272,8 @@
                 try:
                     host = ("Host", f"{address[0]}:{address[1]}")
                     conn.send(request(method, target, [host]), CALL_WAIT)
-                    head, body = self.small(conn)
-                    self.pool.give(address, conn) if head.keeps_alive() else self.pool.drop(conn)
+                    head, body, fit = self.small(conn)
+                    self.pool.give(address, conn) if fit else self.pool.drop(conn)
                     break
                 except (Closed, Malformed):
                     self.pool.drop(conn)
@@ -258,7 +282,8 @@
             told(head, body)
         self.loop.spawn(work)
 
-    def small(self, conn: Conn) -> tuple[Head, bytes]:
+    def small(self, conn: Conn) -> tuple[Head, bytes, bool]:
+        """A small answer, and whether its connection may be used again."""
         messages, head, body = Messages(responses=True, max_body=SMALL), None, b""
         while data := conn.recv(CALL_WAIT):
             for part in messages.feed(data):
@@ -267,7 +292,7 @@
                 elif isinstance(part, Body):
                     body += part.data
                 elif isinstance(part, End):
-                    return head, body
+                    return head, body, head.keeps_alive() and not messages.buffer
         raise Closed("no answer")
 
     def release(self, engine: str, key: str, told: Callable[[bool], None]) -> None:
@@ -293,6 +318,6 @@
             if "usage" in found:
                 found = found["usage"]["prompt_tokens_details"]
             return max(0, int(found["cached_tokens"]))
-        except (ValueError, TypeError, KeyError):
+        except (ValueError, TypeError, KeyError, OverflowError, RecursionError):
             return 0
     return 0
--- a/claycross/net/http1.py
+++ b/claycross/net/http1.py
@@ -11,8 +11,12 @@
 
 MAX_HEAD, MAX_BODY, MAX_LINE = 16_384, 262_144, 256
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
-REQUEST = re.compile(r"([A-Z]{1,20}) (\S+) HTTP/1\.([01])\Z")
-STATUS = re.compile(r"HTTP/1\.([01]) (\d{3})(?: .*)?\Z")
+CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+REQUEST = re.compile(r"([A-Z]{1,20}) ([!-~]+) HTTP/1\.([01])\Z")
+STATUS = re.compile(r"HTTP/1\.([01]) ([1-5][0-9]{2})(?: .*)?\Z")
+SIZE, SIZE_SO_FAR = (re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?\Z", re.DOTALL),
+                     re.compile(rb"[0-9A-Fa-f]{0,8}[ \t]*(?:;.*)?\r?\Z", re.DOTALL))
+MOST_INTERIM = 8  # 1xx answers ahead of one
 REASONS = {200: "OK", 400: "Bad Request", 401: "Unauthorized", 403: "Forbidden", 404: "Not Found",
            405: "Method Not Allowed", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
            431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
@@ -61,8 +65,13 @@
 class Chunks:
     """A chunked body. feed() returns its data and what follows it; `over` once the last chunk came."""
 
-    def __init__(self) -> None:
+    def __init__(self, largest: int = MAX_BODY) -> None:
         self.buffer, self.left, self.state, self.over, self.trailer = b"", 0, "size", False, 0
+        self.largest = largest  # of one chunk
+
+    def between(self) -> bool:
+        """Nothing of a chunk is here that is not whole."""
+        return self.over or (self.state == "size" and not self.buffer)
 
     def feed(self, data: bytes) -> tuple[list[bytes], bytes]:
         buffer, out = self.buffer + data, []
@@ -76,7 +85,7 @@
                 if not self.left:
                     self.state = "after"
                 continue
-            if self.state == "after" and len(buffer) < 2:
+            if self.state == "after" and buffer in (b"", b"\r"):
                 break
             if self.state == "after":
                 if buffer[:2] != b"\r\n":
@@ -87,13 +96,16 @@
             if not mark:
                 if len(buffer) > MAX_LINE:
                     raise Malformed(400, "a chunk's size line is too long")
+                if self.state == "size" and not SIZE_SO_FAR.match(buffer):
+                    raise Malformed(400, "a chunk's size is no number")  # its line may never end
                 break
             buffer = rest
             if self.state == "size":
-                size = line.split(b";", 1)[0].strip(b" \t")
-                if not re.fullmatch(rb"[0-9A-Fa-f]{1,8}", size):
+                if not (size := SIZE.match(line)):
                     raise Malformed(400, "a chunk's size is no number")
-                self.left = int(size, 16)
+                self.left = int(size[1], 16)
+                if self.left > self.largest:
+                    raise Malformed(413, "a chunk is too large")
                 self.state = "data" if self.left else "trailer"
             elif not line:
                 self.over = True
@@ -111,16 +123,22 @@
     It stops after each whole message, keeping what follows; `next()` goes on with that.
     """
 
-    def __init__(self, responses: bool = False, max_body: int = MAX_BODY):
-        self.responses, self.max_body = responses, max_body
+    def __init__(self, responses: bool = False, max_body: int = MAX_BODY, max_chunk: int = MAX_BODY):
+        self.responses, self.max_body, self.max_chunk = responses, max_body, max_chunk
         self.buffer, self.state, self.left, self.size = b"", "head", 0, 0
+        self.checked = 0  # bytes of the buffer that are whole lines of a head and fine
         self.chunks: Chunks | None = None
+        self.seen = 0  # heads so far
         self.head = Head()  # of the message at hand, or the last
 
     def idle(self) -> bool:
         """Between messages, with nothing of a next one here."""
         return self.state == "head" and not self.buffer
 
+    def between(self) -> bool:
+        """Nothing has begun here that is not whole: no head, chunk or body of a given length."""
+        return self.idle() or (self.state == "chunked" and self.chunks.between()) or self.state == "to-close"
+
     def next(self) -> list[Head | Body | End]:
         if self.state == "end":
             self.state = "head"
@@ -159,15 +177,13 @@
         if end > MAX_HEAD or (end < 0 and len(self.buffer) > MAX_HEAD):
             raise Malformed(431, "the head is too large")
         if end < 0:
-            if b"\n" in self.buffer.replace(b"\r\n", b""):
-                raise Malformed(400, "a line ends without CR")
+            self.check_so_far()
             return None
-        lines, self.buffer = self.buffer[:end].split(b"\r\n"), self.buffer[end + 4:]
+        lines, self.buffer, self.checked = self.buffer[:end].split(b"\r\n"), self.buffer[end + 4:], 0
         self.head = head = self.start_line(lines[0].decode("latin-1"))
+        self.seen += 1
         for line in lines[1:]:
-            name, mark, value = line.partition(b":")
-            if not mark or not TOKEN.match(name) or any(c in line for c in (0, 10, 13)):
-                raise Malformed(400, "a header line is malformed")
+            name, value = self.header(line)
             key, text = name.decode("ascii").lower(), value.strip(b" \t").decode("latin-1")
             if key in head.headers and key in ("content-length", "transfer-encoding", "host"):
                 raise Malformed(400, f"{key} stands twice")
@@ -176,6 +192,27 @@
         self.frame(head)
         return head
 
+    def check_so_far(self) -> None:
+        """Of a head that is not whole yet. Guards against one that never will be: what is no message is known
+        by its first bytes, and a line by its end."""
+        if self.responses and not self.buffer.startswith(b"HTTP/1."[:len(self.buffer)]):
+            raise Malformed(502, "no status line")
+        if b"\n" in self.buffer[self.checked:].replace(b"\r\n", b""):
+            raise Malformed(400, "a line ends without CR")
+        while (end := self.buffer.find(b"\r\n", self.checked)) >= 0:
+            line = self.buffer[self.checked:end]
+            if self.checked:
+                self.header(line)
+            else:
+                self.start_line(line.decode("latin-1"))
+            self.checked = end + 2
+
+    def header(self, line: bytes) -> tuple[bytes, bytes]:
+        name, mark, value = line.partition(b":")
+        if not mark or not TOKEN.match(name) or CONTROL.search(value):
+            raise Malformed(400, "a header line is malformed")
+        return name, value
+
     def start_line(self, line: str) -> Head:
         if self.responses:
             if not (m := STATUS.match(line)):
@@ -187,16 +224,18 @@
 
     def frame(self, head: Head) -> None:
         """How the body ends. Length and chunks together, or a length that is no number, are refused."""
-        coding, length = head.get("transfer-encoding").lower(), head.headers.get("content-length")
+        coding, length = head.headers.get("transfer-encoding"), head.headers.get("content-length")
         self.size = 0
-        if coding and (coding != "chunked" or length is not None):
+        if coding is not None and (coding.lower() != "chunked" or length is not None or not head.minor):
             raise Malformed(400, "the body's framing is not understood")
         if length is not None and not re.fullmatch(r"[0-9]{1,12}", length):
             raise Malformed(400, "content-length is no number")
         if self.responses and (head.status in (204, 304) or head.status < 200):
+            if head.status == 101 or (head.status < 200 and self.seen > MOST_INTERIM):
+                raise Malformed(502, "interim answers without end, or another protocol")
             self.state = "head" if head.status < 200 else "whole"
         elif coding:
-            self.state, self.chunks = "chunked", Chunks()
+            self.state, self.chunks = "chunked", Chunks(self.max_chunk)
         elif length is not None:
             if int(length) > self.max_body:
                 raise Malformed(413, "the body is too large")
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -25,7 +25,7 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 TICK, SLOTS = 2 * MS, 512  # of the wheel: one turn is about a second
 LATE = 40 * MS  # a round or a timer later than this is logged
-READ_SIZE = 65_536
+READ_SIZE = 16_384  # small, so that a greedy sender gets few bytes a turn
 HUNG = select.POLLIN | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
@@ -396,6 +396,13 @@
         except OSError:
             return False
 
+    def end_sending(self) -> None:
+        """The other side learns that nothing more comes; it may go on sending."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError as err:
+            raise Closed(str(err)) from None
+
     def close(self) -> None:
         if self.closed:
             return
--- a/claycross/net/platform.py
+++ b/claycross/net/platform.py
@@ -1,23 +1,35 @@
 """The platform's front: what its clients send becomes requests of the core, and what becomes of them answers.
 
-Owns the listening address, the client connections with their bounds, and the words of the protocol. It must
-never decide whether a request is served, answer one twice, or let one slow client hold up others.
+Owns the listening address, the client connections with their bounds in number and time, and the words of
+the protocol. It must never decide whether a request is served, answer one twice, or let one slow, silent or
+greedy client hold up others.
 """
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from typing import Any
 
 from ..core import Core, Open
 from ..interface import Arrival
 from .engines import HOP, Outgoing
-from .http1 import LAST_CHUNK, MAX_BODY, Body, Head, Malformed, Messages, answer, chunk
+from .http1 import LAST_CHUNK, Body, Head, Malformed, Messages, answer, chunk
 from .loop import MS, SECOND, Closed, Conn, Interrupted, Listener, Loop, TimedOut
 
 PATH = "/v1/chat/completions"
-STALL = 20 * SECOND  # a client that takes nothing, or sends half a request, for so long has gone
-NO_TIMEOUT = 30 * SECOND  # for a class that the settings do not name
+STALL = 20 * SECOND  # a client that takes nothing for so long has gone
+IDLE = 2100 * MS  # a connection without a request is closed then: thousands ask once and stay
+ARRIVAL = 2200 * MS  # from the first byte (at first: from connecting) until a request is whole
+LINGER, LINGER_BYTES = 300 * MS, 1 << 20  # of reading on after an error that closes the connection
+PACE, PACE_MOST = 200 * MS, 1600 * MS  # until the next error in a row on a connection is said; doubles
+MOST_AHEAD = 65_536  # bytes that a client may send behind a request that is under way
+NUMBER = re.compile(r"[0-9]{1,9}\Z", re.ASCII)
+LONGEST_KEY = 128  # of an id or a key: tables are keyed by them
+
+# What a client's connection is at; those further down make way first when there are too many.
+BUSY, ASKING, IDLING, SILENT, TURNED_AWAY = range(5)
+GRACE = {ASKING: 500 * MS, IDLING: 0, SILENT: 100 * MS, TURNED_AWAY: 0}  # that each is given before it does
 
 
 class Bad(Exception):
@@ -91,22 +103,31 @@
     def __init__(self, loop: Loop, core: Core, listen: tuple[str, int], limit: int):
         self.loop, self.core, self.limit = loop, core, limit
         self.draining = False
-        self.clients: dict[Conn, bool] = {}  # whether it waits between requests; oldest first
+        self.clients: dict[Conn, tuple[int, int]] = {}  # what each is at, and since when; oldest first
         self.listener = Listener(loop, listen, self.accepted, self.room)
 
     def room(self) -> bool:
-        """Under the bound; at it, the connection that has been idle longest makes way."""
+        """Under the bound; at it, one that is of least use makes way. Guards the places of clients that ask
+        against hundreds that connect and say nothing, send half a request, or are turned away again and
+        again."""
         if len(self.clients) < self.limit:
             return True
-        idle = next((c for c, waits in self.clients.items() if waits and c.quiet()), None)
-        if idle is None:
-            return False
-        del self.clients[idle]
-        idle.close()
-        return True
+        now = self.loop.now()
+        for state in (TURNED_AWAY, SILENT, IDLING, ASKING):
+            for conn, (at, since) in self.clients.items():
+                if at == state and now - since >= GRACE[state] and (state >= TURNED_AWAY or conn.quiet()):
+                    del self.clients[conn]
+                    self.core.count("made-way")
+                    conn.close()
+                    return True
+        return False
+
+    def mark(self, conn: Conn, at: int) -> None:
+        self.clients.pop(conn, None)
+        self.clients[conn] = (at, self.loop.now())
 
     def accepted(self, conn: Conn) -> None:
-        self.clients[conn] = False
+        self.mark(conn, SILENT)
         self.loop.spawn(self.serve, conn, background=self.background)
 
     def drain(self) -> None:
@@ -117,13 +138,28 @@
         """No further connections; those that wait between requests are closed."""
         self.draining = True
         self.listener.close()
-        for conn in [c for c, waits in self.clients.items() if waits and c.quiet()]:
+        for conn in [c for c, (at, _) in self.clients.items() if at in (IDLING, SILENT) and c.quiet()]:
             conn.close()  # one on which a request has come is answered first
 
     def serve(self, conn: Conn) -> None:
-        messages = Messages()
+        messages, errors = Messages(), 0
         try:
-            while self.one(conn, messages):
+            while not conn.closed:
+                try:
+                    if not self.one(conn, messages, first=not messages.seen):
+                        break
+                    errors = 0
+                except Bad as bad:
+                    self.core.count("malformed")
+                    # Guards the loop's turns against a client that sends the same again as soon as it hears.
+                    if errors and bad.status != 429:
+                        self.mark(conn, TURNED_AWAY)
+                        self.loop.sleep(min(PACE << (errors - 1), PACE_MOST))
+                    errors = min(errors + 1, 8)
+                    close = not messages.head.keeps_alive() or self.draining or bool(messages.buffer)
+                    self.turn_away(conn, bad, close)
+                    if close:
+                        break
                 if self.draining and not self.listener.open:
                     break
         except Malformed as err:
@@ -143,35 +179,35 @@
             self.linger(conn)
 
     def linger(self, conn: Conn) -> None:
-        """Reads on for a moment: closing over unread bytes would reset the answer away."""
+        """Reads on for a moment, and only so much: closing over unread bytes would reset the answer away."""
+        self.mark(conn, TURNED_AWAY)
+        until, most = self.loop.now() + LINGER, LINGER_BYTES
         try:
-            for _ in range(64):
-                if not conn.recv(200 * MS):
-                    return
+            conn.end_sending()
+            while most > 0 and (left := until - self.loop.now()) > 0 and (data := conn.recv(left)):
+                most -= len(data)
         except (Closed, Interrupted):
             return
 
-    def one(self, conn: Conn, messages: Messages) -> bool:
-        """One request and its answer; False when the connection is to be closed."""
-        head, body, came = self.read(conn, messages)
+    def one(self, conn: Conn, messages: Messages, first: bool) -> bool:
+        """One request and its answer; False when the connection is to be closed, Bad if it is turned away."""
+        head, body, came = self.read(conn, messages, first)
         if head is None:
             return False
+        self.mark(conn, BUSY)
         close = not head.keeps_alive()
-        try:
-            taken = self.take(conn, head, body, came, close)
-        except Bad as bad:
-            close = close or self.draining
-            self.core.count("malformed")
-            self.turn_away(conn, bad, close)
-            return not close
+        taken = self.take(conn, head, body, came, close)
         if taken is None:
             return not (close or self.draining)
         opened, exchange = taken
         self.wait(conn, messages, opened, exchange)
         return not exchange.close_after and not self.draining and not conn.closed
 
-    def read(self, conn: Conn, messages: Messages) -> tuple[Head | None, bytes, int]:
+    def read(self, conn: Conn, messages: Messages, first: bool) -> tuple[Head | None, bytes, int]:
         head, body, came, parts = None, [], 0, messages.next()
+        start = self.loop.now()
+        at = SILENT if first else IDLING
+        self.mark(conn, at if messages.idle() else ASKING)
         while True:
             for part in parts:
                 if isinstance(part, Head):
@@ -183,22 +219,24 @@
                 else:
                     return head, b"".join(body), came or self.loop.now()
             idle = head is None and messages.idle()
-            self.clients.pop(conn, None)
-            self.clients[conn] = idle
             if idle and self.draining and not self.listener.open:
                 return None, b"", 0
+            since = start if first or not came else came
             try:
-                data = conn.recv(0 if idle else STALL)
+                data = conn.recv(max(MS, since + (IDLE if idle else ARRIVAL) - self.loop.now()))
             except Interrupted:  # left over from the answer before
                 parts = []
                 continue
             except TimedOut:
+                if idle:
+                    return None, b"", 0
                 raise Malformed(408, "the request did not arrive in time") from None
-            self.clients[conn] = False
             if not data:
                 messages.eof()
                 return None, b"", 0
-            came = came or conn.read_at
+            if not came:
+                came = conn.read_at
+                self.mark(conn, ASKING)
             parts = messages.feed(data)
 
     def wait(self, conn: Conn, messages: Messages, opened: Open, exchange: Exchange) -> None:
@@ -212,7 +250,7 @@
                 if not data:
                     raise Closed("the client left")
                 messages.buffer += data
-                if len(messages.buffer) > MAX_BODY:
+                if len(messages.buffer) > MOST_AHEAD:
                     raise Closed("the client sends more than it may")
             if exchange.out:
                 conn.send(exchange.out, STALL)
@@ -253,21 +291,24 @@
 
     def arrival(self, head: Head, came: int) -> Arrival:
         key, name = head.get("x-request-id"), head.get("x-priority-class")
-        if not key or len(key) > 128 or not all(c.isascii() and (c.isalnum() or c in "-_.~:") for c in key):
+        if not key or len(key) > LONGEST_KEY or not all(
+                c.isascii() and (c.isalnum() or c in "-_.~:") for c in key):
             raise Bad(400, "X-Request-ID is missing or malformed")
-        if any(r.key == key for r in self.core.open.values()):
+        if self.core.under_way(key):
             raise Bad(409, "a request with this X-Request-ID is under way")  # it must not run twice
-        spec = self.core.settings.classes.get(name)
-        timeout = head.get("x-timeout-ms") or str((spec.give_up if spec else NO_TIMEOUT) // MS)
+        # Guards the engines, which turn such a request away: thousands of them took the places of good ones.
+        if (spec := self.core.settings.classes.get(name)) is None:
+            raise Bad(400, "X-Priority-Class names no class of this service")
+        timeout = head.get("x-timeout-ms") or str(spec.give_up // MS)
         attrs = dict(pair.strip().partition("=")[::2] for pair in head.get("x-attrs").split(",") if pair)
-        try:
-            left = int(timeout) * MS
-            lengths = [int(attrs.get(n) or 0) for n in ("prompt_len", "prefix_len", "max_out")]
-        except ValueError:
-            raise Bad(400, "X-Timeout-Ms and the lengths in X-Attrs must be whole numbers") from None
-        if min(left, *lengths) < 0 or max(left // MS, *lengths) > 10**9:
-            raise Bad(400, "X-Timeout-Ms and the lengths in X-Attrs must be in range")
-        left -= self.loop.now() - came  # it has been running since the client sent it
-        return Arrival(0, name, max(0, left), lengths[0], head.get("x-route-key"), attrs.get("prefix", ""),
-                       lengths[1], lengths[2], tenant=head.get("x-tenant-id"),
+        lengths = [attrs.get(n) or "0" for n in ("prompt_len", "prefix_len", "max_out")]
+        if not all(NUMBER.match(text) for text in (timeout, *lengths)):
+            raise Bad(400, "X-Timeout-Ms and the lengths in X-Attrs must be whole numbers")
+        prompt, shared, most = map(int, lengths)
+        session, prefix = head.get("x-route-key"), attrs.get("prefix", "")
+        if max(len(session), len(prefix)) > LONGEST_KEY:
+            raise Bad(400, "X-Route-Key or the prefix in X-Attrs is too long")
+        left = int(timeout) * MS - (self.loop.now() - came)  # running since the client sent it
+        return Arrival(0, name, max(0, left), prompt, session, prefix, shared, most,
+                       tenant=head.get("x-tenant-id"),
                        repeat=head.get("x-retried") == "1")
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -290,6 +290,7 @@
     release: bool = False
     embeddings: dict | None = None  # changes to the front's file
     settings: dict = field(default_factory=dict)  # changes to `permissions`
+    resume: bool = False
     etcd: Server | None = None  # the source of the list instead of discovery
     admin: str = ""  # the operator's token
     mode: str = "push"  # of discovery
@@ -304,6 +305,7 @@
             {"name": name, "slo": 10**9, "give-up": 6 * 10**9, "effect": effect, "streaming": True}
             for name, effect in (("browse", "safe"), ("licence", "unsafe"))]
         settings["membership-mode"] = self.mode
+        settings["family-info"]["resume"] = self.resume
         settings["permissions"] |= {
             "conn-idle": 4 * 10**9, "dial-timeout": 5 * 10**9, "retry-after": True, "max-retry-after": 10**9,
             "may-cancel": True, "send-cap": 5, **self.settings}
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import fcntl
+import gc
 import json
 import os
 import signal
@@ -10,9 +11,14 @@
 import sys
 import threading
 import time
+import weakref
 
 import pytest
 
+from claycross import interface as i
+from claycross.core import Core
+from claycross.net.loop import Timer
+from tests.desk import entry, settings
 from tests.standins import EVENTS, NEVER, ROOT, Client, Discovery, Engine, Site, chat, eventually, post
 
 WHOLE = b"".join(EVENTS)
@@ -49,6 +55,19 @@
     wire.stream()
 
 
+def says(*parts):
+    """A plan that writes this and leaves its connection open."""
+    def plan(engine, request, wire):
+        for part in parts:
+            wire.sock.sendall(part)
+        wire.gone()
+    return plan
+
+
+def chunked(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
 def answers(status, *headers, body=b""):
     return lambda engine, request, wire: wire.reply(status, *headers, body=body)
 
@@ -134,6 +153,78 @@
     assert len(writer.asked) == 1
 
 
+STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+HALF = b"%x\r\n" % len(EVENTS[0]) + EVENTS[0][:9]
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"\x00\x9fno line end", b"HTTP/1.1 abc\r\n", b"HTTP/1.1 200 OK\r\nno colon\r\n", STREAM[:-2],
+    b"HTTP/1.1 200 OK\r\n" + b"X: y\r\n" * 9000, STREAM + b"zz", STREAM + b"-5\r\n",
+    STREAM + b"c0000000\r\n" + b"x" * 99, STREAM + b"2\r\n" + EVENTS[0], STREAM + HALF,
+    b"HTTP/1.1 103 X\r\n\r\n" * 99, b"HTTP/1.1 101 X\r\n\r\n"])
+@pytest.mark.parametrize(("cls", "status", "sent"), [("browse", 200, 2), ("licence", 502, 1)])
+def test_an_answer_spoilt_before_its_first_event_may_have_run(site, spoilt, cls, status, sent):
+    """Its connection stays open: nothing but what came, or what does not come, tells."""
+    shared = once(says(spoilt), write_well)
+    writers = [Engine("d", plan=shared) for _ in "dd"]
+    s = site(Engine("p"), *writers, release=True)
+    answer = s.chat(cls=cls, timeout=20_000)
+    assert answer.status == status and (status != 200 or answer.body == WHOLE)
+    assert sum(len(e.asked) for e in writers) == sent
+    assert "engine-junk" in s.log() or spoilt in (STREAM[:-2], STREAM + HALF)  # the module is sooner there
+
+
+@pytest.mark.parametrize("spoilt", [b"zz", b"c0000000\r\n" + b"x" * 99, b"2\r\n" + EVENTS[1], HALF, b""])
+def test_a_stream_spoilt_later_ends_its_client_without_the_last_chunk(site, spoilt):
+    passed_on = threading.Event()
+
+    def plan(engine, request, wire):
+        wire.sock.sendall(STREAM + chunked(EVENTS[0]))
+        assert passed_on.wait(8)
+        wire.sock.sendall(spoilt)
+        wire.gone()
+    writer = Engine("d", plan=plan)
+    s = site(Engine("p"), writer, release=True, resume=True)
+    with s.client() as c:
+        c.sock.settimeout(5)
+        assert chat(c, cls="licence").file.readline().startswith(b"HTTP/1.1 200")
+        passed_on.set()
+        rest = c.file.read().partition(b"\r\n\r\n")[2]
+    assert rest == chunked(EVENTS[0]) and len(writer.asked) == 1
+
+
+GOOD = STREAM + b"".join(map(chunked, EVENTS)) + b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize(("raw", "kept"), [
+    (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + GOOD, True),
+    (GOOD.replace(b"Content-Type", b"X-Server-Load: x0=nan,x1=-inf,\xff\xfe==,,x0\r\nContent-Type"), True),
+    (GOOD + b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", False),
+    (GOOD + b"\x00", False)])
+def test_a_good_stream_with_more_than_belongs_to_it_is_served(site, raw, kept):
+    writer = Engine("d", plan=lambda engine, request, wire: wire.sock.sendall(raw))
+    s = site(Engine("p"), writer)
+    for _ in range(3):
+        answer = s.chat(cls="licence")
+        assert (answer.status, answer.body, answer.whole) == (200, WHOLE, True)
+    assert len({m.port for m in writer.asked}) == (1 if kept else 3)
+
+
+def test_what_an_engine_cannot_use_is_answered_and_no_blame_on_the_engine(site):
+    def plan(engine, request, wire):
+        if request["x-request-id"].startswith("bad"):
+            return wire.reply(400)
+        return wire.reply(202, body=b'{"cached_tokens":5}')
+    readers = [Engine("p", plan=plan) for _ in "pp"]
+    s = site(*readers, Engine("d"), release=True)
+    for n in range(6):
+        assert s.chat(key=f"bad{n}", X_Route_Key=f"s{n}").status == 502
+    assert sum(len(e.asked) for e in readers) == 6
+    for n in range(12):
+        assert s.chat(X_Route_Key=f"t{n}", X_Attrs=f"prompt_len=800,prefix=q{n},prefix_len=700").status == 200
+    assert all(len(e.asked) > 6 // 2 for e in readers)
+
+
 def test_events_are_passed_on_as_they_come(site):
     go = threading.Event()
 
@@ -353,6 +444,7 @@
 
 
 HEAD = b"POST /v1/chat/completions HTTP/1.1\r\nX-Request-ID: a1\r\n"
+ASK = HEAD + b"X-Priority-Class: browse\r\n"
 
 
 @pytest.mark.parametrize(("raw", "status", "closes"), [
@@ -362,9 +454,12 @@
     (b"POST /v1/other HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", 404, False),
     (b"POST /v1/chat/completions HTTP/1.1\r\n\r\n", 400, False),  # no id
     (b"POST /v1/chat/completions HTTP/1.1\r\nX-Request-ID: a b\r\n\r\n", 400, False),
-    (HEAD + b"X-Timeout-Ms: soon\r\n\r\n", 400, False),
-    (HEAD + b"X-Timeout-Ms: -4\r\n\r\n", 400, False),
-    (HEAD + b"X-Attrs: prompt_len=many\r\n\r\n", 400, False),
+    (HEAD + b"X-Timeout-Ms: 900\r\n\r\n", 400, False),  # no class
+    (HEAD + b"X-Priority-Class: browses\r\n\r\n", 400, False),
+    *((ASK + line + b"\r\n\r\n", 400, False) for line in (
+        b"X-Timeout-Ms: soon", b"X-Timeout-Ms: -4", b"X-Timeout-Ms: 1_0", b"X-Timeout-Ms: nan",
+        b"X-Timeout-Ms: 1e3", b"X-Timeout-Ms: " + b"9" * 30, b"X-Attrs: prompt_len=many",
+        b"X-Attrs: prompt_len=-1", b"X-Route-Key: " + b"k" * 9000)),
     (b"nonsense\r\n\r\n", 400, True),
     (b"GET / HTTP/3.0\r\n\r\n", 400, True),
     (HEAD + b"Bad Name: x\r\n\r\n", 400, True),
@@ -374,6 +469,19 @@
     (HEAD + b"Content-Length: -1\r\n\r\n", 400, True),
     (HEAD + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400, True),
     (HEAD + b"Transfer-Encoding: gzip\r\n\r\n", 400, True),
+    (HEAD + b"Transfer-Encoding:\r\nContent-Length: 5\r\n\r\n", 400, True),
+    (HEAD + b"Transfer-Encoding: xchunked\r\n\r\n", 400, True),
+    (HEAD + b"Transfer-Encoding : chunked\r\n\r\n", 400, True),
+    (HEAD + b"X: a\x01b\r\n\r\n", 400, True),
+    (HEAD + b" folded: x\r\nX", 400, True),  # and no more: a line that is wrong is known by its end
+    (HEAD + b"No-Colon\r\nX", 400, True),
+    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n 5\r\n", 400, True),
+    (HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz", 400, True),
+    (HEAD + b"Transfer-Encoding: chunked\r\n\r\nffffffff\r\n", 413, True),
+    (b"POST /v1/chat/completions HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, True),
+    (HEAD + b"Content-Length: 60000000\r\n\r\n" + b"x" * 9_000_000, 413, True),
+    (HEAD + b"Content-Length: 5\r\n\r\n", 408, True),  # and then nothing
+    (HEAD, 408, True),
     (HEAD + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\n", 400, True),
     (HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nabcd\r\n", 400, True),
     (HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab", 400, True),  # and then it ends
@@ -383,9 +491,11 @@
     (HEAD + b"X: " + b"y" * 20_000 + b"\r\n\r\n", 431, True),
     (b"GET /" + b"y" * 20_000, 431, True),
 ])
-def test_bad_input_is_answered_and_only_what_breaks_the_framing_closes(site_for_input, raw, status, closes):
+def test_bad_input_is_answered_in_time_and_only_broken_framing_closes(site_for_input, raw, status, closes):
     with Client(site_for_input.address) as c:
-        c.sock.sendall(raw)
+        c.sock.settimeout(3)  # what a bad client is owed comes, and its connection ends, within that
+        with contextlib.suppress(OSError):  # it may be closed on while it sends on and on
+            c.sock.sendall(raw)
         if raw.endswith(b"ab"):
             c.sock.shutdown(socket.SHUT_WR)
         answer = c.answer()
@@ -396,6 +506,37 @@
             assert c.send("GET", "/-/ready").answer().status == 200
 
 
+def test_an_error_said_again_and_again_on_a_connection_comes_ever_later(site_for_input):
+    with site_for_input.client() as c:
+        start = time.monotonic()
+        for _ in range(4):
+            assert chat(c, cls="none").answer().status == 400
+        assert time.monotonic() - start > 1  # 0.2 s, 0.4 s and 0.8 s before those after the first
+        assert chat(c).answer().status == 200
+
+
+@pytest.mark.parametrize("said", [b"", ASK], ids=["silent", "half a request"])
+def test_hundreds_that_never_ask_take_no_place_and_are_ended(site, said):
+    s = site(Engine("p"), Engine("d"), release=True)
+    bad = [s.client() for _ in range(400)]  # the gateway has 512 descriptors
+    start = time.monotonic()
+    for c in bad:
+        c.sock.sendall(said)
+    assert [s.chat().status for _ in range(5)] == [200] * 5
+    assert time.monotonic() - start < 2.5  # not only after all of them have been ended
+    for c in bad:
+        c.sock.settimeout(max(0.01, start + 3.5 - time.monotonic()))
+        assert not c.file.read() or said
+        c.__exit__()
+
+
+def test_a_connection_without_a_request_is_closed_after_a_while(site):
+    s = site(Engine("p"), Engine("d"))
+    with s.client() as c:
+        assert chat(c).answer().status == 200
+        assert not c.file.read() and s.process.poll() is None
+
+
 @pytest.fixture(scope="module")
 def site_for_input(tmp_path_factory):
     with Site(tmp_path_factory.mktemp("input"), [Engine("p"), Engine("d")]) as s:
@@ -581,3 +722,47 @@
             second.kill()
             second.wait()
             os.close(write_end)
+
+
+class StillClock:
+    """Time stands; timers are kept, as those of far deadlines are."""
+
+    def __init__(self):
+        self.timers = []
+
+    def now(self):
+        return 0
+
+    def later(self, span, call):
+        self.timers.append(Timer(span, call))
+        return self.timers[-1]
+
+
+class Body:
+    background = False
+
+
+def test_a_request_that_is_over_leaves_nothing_behind_before_the_collector_runs():
+    """Memory grew through a long day: what was over waited for its deadline, and for the collector."""
+    core = Core(settings(), 1, StillClock(), lambda text: None)
+    started = []
+    core.calls = type("Calls", (), {"start": lambda self, t: started.append(t)})()
+    core.list(i.EngineList("full", [entry("r1"), entry("w1")]))
+    reply = type("Reply", (), {"piece": lambda *_: None, "end": lambda *_: None, "fail": lambda *_: None})()
+    body = Body()
+    alive = weakref.ref(body)
+    gc.disable()
+    try:
+        core.arrive(i.Arrival(0, "ask", 5 * 10**9, prompt=100, max_output=10), "k1", body, reply)
+        del body
+        core.flush()
+        assert core.under_way("k1")
+        core.done(started[0], "read")
+        core.flush()
+        core.began(started[1])
+        core.done(started[1], "ok")
+        core.flush()
+        started.clear()
+        assert alive() is None and not core.open and not core.under_way("k1")
+    finally:
+        gc.enable()
