A stopping gateway hands its long streams back in turn, before it is cut off with them

An experiment (open requests logged every 0.2 s after SIGTERM, repeats as they come) showed why: 20 to 25 streams outlasted each planned restart and ended with SIGKILL; their clients came again within 0.2 s all at once. At 17.0 s they found nobody: one node was just killed, the other had stopped accepting. Lines at fault: `Gateway.end` waited for streams for as long as it was let, `Core.move` was never called. Now, only where clients ask for the rest (settings.resume): from 2.4 s after SIGTERM to 3.3 s, youngest first.

--- a/claycross/__main__.py
+++ b/claycross/__main__.py
@@ -30,6 +30,7 @@
 
 VERSION = "0.2.0"
 STILL_ACCEPTS = 500 * MS  # after SIGTERM: the front needs up to 0.4 s to notice
+HAND_BACK, HANDED_BACK = 2400 * MS, 3300 * MS  # after SIGTERM: streams still running go, bit by bit
 STATS = 10 * SECOND
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
                   help="The gateway of the chat service.")
@@ -153,6 +154,16 @@
             front.drain()
             self.loop.later(STILL_ACCEPTS, front.close)
         self.loop.later(STILL_ACCEPTS, self.end)
+        self.loop.later(HAND_BACK, lambda: self.hand_back(self.loop.now() + HANDED_BACK - HAND_BACK))
+
+    def hand_back(self, until: int) -> None:
+        """Guards streams that outlast the time a stopping gateway is given. Cut off all at once by its end,
+        their clients all came again in one moment, at times when no gateway was up; so they go in turn."""
+        turns = max(1, (until - self.loop.now()) // (40 * MS))
+        for core in self.cores:
+            core.hand_back(turns)
+        if any(core.open for core in self.cores):
+            self.loop.later(40 * MS, lambda: self.hand_back(until))
 
     def end(self) -> None:
         if any(f.clients for f in self.fronts) or any(c.open or c.leases for c in self.cores):
--- a/claycross/core.py
+++ b/claycross/core.py
@@ -290,6 +290,15 @@
             self.calls.abandon(r.stream)
             self.done(r.stream, "cancelled")
 
+    def hand_back(self, turns: int) -> None:
+        """Before the end of this gateway: a share of the streams, so that none is left after `turns` calls.
+        Only where clients ask for the rest; those that began last have the most to come and go first."""
+        if self.settings.resume:
+            running = [r for r in self.open.values() if r.stream and not r.over and not r.stream.over]
+            for r in sorted(running, key=lambda r: -r.stream.sent)[:-(-len(running) // turns)]:
+                self.count("handed-back")
+                self.move(i.Move(r.number))
+
     def set_timer(self, a: i.SetTimer) -> None:
         self.clock.later(a.delay, lambda: self.push(i.TimerDue(a.token)))
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -575,6 +575,38 @@
     assert s.process.wait(8) == 0 and "stopped" in s.log()
 
 
+@pytest.mark.parametrize("resume", [True, False])
+def test_a_stopping_gateway_hands_long_streams_back_in_turn_where_clients_come_again(site, resume):
+    """Killed with all its streams at once, it sent their clients away in one moment, to nobody."""
+    go = threading.Event()
+
+    def plan(engine, request, wire):
+        wire.begin()
+        wire.event(EVENTS[0])
+        if go.wait(6):
+            for data in EVENTS[1:]:
+                wire.event(data)
+            wire.sock.sendall(b"0\r\n\r\n")
+    s = site(Engine("p"), Engine("d", plan=plan), release=True, resume=resume)
+    clients = []
+    for cls in ("browse", "licence", "licence"):
+        clients.append(chat(s.client(), cls=cls))
+        assert clients[-1].file.readline().startswith(b"HTTP/1.1 200")
+    start, ends = time.monotonic(), []
+    s.process.send_signal(signal.SIGTERM)
+    if not resume:  # there cutting it off would lose it
+        with pytest.raises(subprocess.TimeoutExpired):
+            s.process.wait(3.5)
+        go.set()
+    for c in reversed(clients):  # the youngest goes first
+        assert c.file.read().endswith(b"\r\n0\r\n\r\n") is not resume
+        ends.append(time.monotonic() - start)
+        c.__exit__()
+    assert s.process.wait(8) == 0
+    if resume:
+        assert 2 < ends[0] < ends[1] < ends[2] < 3.7 and ends[2] - ends[0] > 0.05
+
+
 @pytest.fixture
 def second_discovery():
     found = Discovery()
