An attempt cut off early tells no more of an engine's pace than that it took so long

Seen: on silent+leave 20 to 28 clients a node leave early; each attempt ends as cancelled, and `EngineHealth.sample` took its time as the engine's. Measured without the bench: six that left after 1 ms moved the pace believed of a reader from 38,462 to 2,145 ns a token. Line at fault: `Router.account` in policy.py, the sample after timeout and cancelled, which is a lower bound only.

--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -445,7 +445,7 @@
             # It took at least so long. Without this sample time-outs would stay short in a slowdown of all,
             # and each attempt be dropped just before its turn: a storm that feeds itself.
             work = a.ahead + a.work + OVERHEAD_TOKENS if a.reads else 1
-            self.health.sample(e, event.took / work, self.now)
+            self.health.sample(e, max(e.pace, event.took / work), self.now)  # clients leave early, too
         if event.result == "connect_failed":
             self.health.count("dials failed", self.now)
             e.heard = 0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -18,7 +18,7 @@
 from claycross import interface as i
 from claycross.core import Core
 from claycross.net.loop import Timer
-from tests.desk import entry, settings
+from tests.desk import MS, SECOND, Desk, entry, settings
 from tests.standins import EVENTS, NEVER, ROOT, Client, Discovery, Engine, Site, chat, eventually, post
 
 WHOLE = b"".join(EVENTS)
@@ -808,3 +808,21 @@
         assert alive() is None and not core.open and not core.under_way("k1")
     finally:
         gc.enable()
+
+
+def test_clients_that_leave_early_do_not_make_an_engine_look_fast():
+    """Attempts cut off after 1 ms counted as reads that took 1 ms: the pace believed fell with each."""
+    d = Desk(engines=["r1", "w1"])
+    for n in range(4):
+        d.serve(n, session=f"s{n}")
+    e = d.router.health.engines["r1"]
+    believed = e.pace
+    for n in range(4, 10):
+        d.ask(n, session=f"s{n}")
+        d.now += MS
+        d.do(i.Abandoned(n))
+        d.reply(n, "cancelled", took=MS, ended=True)
+    assert e.pace == pytest.approx(believed) and believed > 0
+    d.ask(10, session="s10")
+    d.reply(10, "timeout", took=5 * SECOND)
+    assert e.pace > believed  # that it took so long still counts
