--- a/claycross/net/engines.py
+++ b/claycross/net/engines.py
@@ -21,7 +21,6 @@
 from .loop import MS, SECOND, Closed, Conn, Loop, TimedOut
 
 Address = tuple[str, int]
-IDLE_SHARE = 0.5  # of the time after which engines close an unused connection
 REST = 3 * MS  # of a connection after use: what its engine sends behind an answer is seen by then
 HALF = 1500 * MS  # for the rest of a head or chunk that has begun: engines write them whole
 CALL_WAIT = 400 * MS  # for the answer of a call that carries no request
