--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -143,16 +143,20 @@
         self.sessions = {s: v for s, v in self.sessions.items() if v[0] != reader}
         self.credit.pop(reader, None)
 
-    def homes(self, event: Arrival, readers: list[Engine]) -> list[Engine]:
+    def homes(self, event: Arrival, readers: list[Engine],
+              warmth: Callable[[Engine], float]) -> list[Engine]:
         """The readers that the prefix (or, with none, the session) hashes to, alike at all nodes. Departure:
         one with over HOT fair shares of the arrivals has further homes, next in rendezvous order; each
         session keeps to one. Guards against a hot prefix, of whose load a node sees next to nothing. It could
-        harm by reading a prefix at more places than needed."""
+        harm by reading a prefix at more places than needed. A cold reader is home to as many of the sessions
+        as it has warmth, and to the same ones at all nodes: guards it, and what is kept, against forty nodes
+        that each make their own choice of when to pass it over."""
         if not (key := event.prefix or event.session):
             return []
         share = (self.asked.get(event.prefix, 1.0) - 1) / (self.asked.get("", 0.0) + HOT_PRIOR)
         count = 1 + int(share * len(readers) / HOT) if event.prefix else 1
-        first = sorted(readers, key=lambda e: -rank(key, e.id))[:count]
+        fit = [e for e in readers if (w := warmth(e)) >= 1 or rank(event.session or key, e.id) < w] or readers
+        first = sorted(fit, key=lambda e: -rank(key, e.id))[:count]
         return sorted(first, key=lambda e: -rank(event.session, e.id))
 
     def age(self, now: int, span: int) -> None:
@@ -198,7 +202,8 @@
     def slowness(self, e: Engine) -> float:
         """Against its peers: when all are slow, nobody stands out. Few samples are believed less."""
         believed = min(e.samples, PACE_SAMPLES) / PACE_SAMPLES
-        return max(1.0, e.pace / self.typical(e.role)) ** believed if e.samples else 1.0
+        found = max(1.0, e.pace / self.typical(e.role)) ** believed if e.samples else 1.0
+        return max(found, 1 / self.warmth(e))
 
     def sample(self, e: Engine, pace: float, now: int) -> None:
         gain = TRIAL_GAIN if e.ejections else max(PACE_GAIN, 1 / (e.samples + 1))  # in proportions
@@ -248,6 +253,11 @@
     def cold(self, e: Engine, now: int) -> bool:
         return e.entry.started_at > 0 and now - e.entry.started_at < self.settings.warm_after
 
+    def warmth(self, e: Engine) -> float:
+        """Share of its capacity that an engine has by now, at the least that the rule's figures allow."""
+        s, age = self.settings, self.now - e.entry.started_at
+        return s.cold_from + (1 - s.cold_from) * age / s.warm_after if self.cold(e, self.now) else 1.0
+
     def cold_room(self, e: Engine, now: int) -> float:
         """Sends that a cold engine may still get in this window (rule 4); without end for a warm one.
 
@@ -269,6 +279,8 @@
         turn = rank("turn", e.id) + s.me / s.nodes
         k = (now - e.entry.started_at) // window
         share = int((k + 1) * budget + turn) - int(k * budget + turn)
+        if e.role == "read":  # homes() thins what all nodes send there; by turns each node had other homes
+            share = max(1, share)
         return share - sum(w for _, w in e.sends)
 
     def rate(self, role: str, now: int) -> float:
@@ -597,8 +609,9 @@
         mean = sum(loads.values()) / len(loads)
         matches = self.table.matches(event, self.now)
         usable = {e.id: matches.get(e.id, 0) for e in readers}
+        homes = [] if event.session in self.table.sessions else self.table.homes(
+            event, readers, self.health.warmth)
         best = max(usable.values())
-        homes = [] if event.session in self.table.sessions else self.table.homes(event, readers)
         if best > event.prompt - best:
             holders = [e for e in readers if usable[e.id] == best or e in homes[:len(homes) > 1]]
         else:  # unknown here: its home; a longer match than the prefix's may be known to another node
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,6 +10,7 @@
 from claycross import interface as i
 from claycross.core import Core
 from claycross.net.loop import Timer
+from claycross.policy import rank
 from tests.desk import MS, READERS, SECOND, WRITERS, Desk, Outcome, Release, entry, kinds, sends, settings
 
 
@@ -129,3 +130,57 @@
     d.do(Outcome(1, n, d.out.pop((1, n)).engine, "reset", 50 * MS))
     d.wait(290 * MS)
     assert [at for at, a in d.log if isinstance(a, Release)] and d.log[-1][0] - settled <= 300 * MS
+
+
+FLEET = 40
+COLD = {"cold_from": 0.26, "warm_after": 12 * SECOND, "fall_window": 3 * SECOND, "fall_multiple": 4.0}
+
+
+def fleet(engines, restarted=0, **over):
+    """Forty routers with one list; the last of them have just started."""
+    desks = [Desk(engines=engines, seed=n, nodes=FLEET, me=n, **COLD, **over) for n in range(FLEET)]
+    for d in desks[:FLEET - restarted]:
+        d.router.health.rates = {"": (12.0, d.now), "read": (12.0, d.now), "write": (12.0, d.now)}
+    return desks
+
+
+def started(names, cold, at):
+    return [entry(n, started_at=at if n in cold else 0) for n in names]
+
+
+@pytest.mark.parametrize("age", [0, 3, 8])
+def test_forty_gateways_find_one_home_for_a_session_though_most_readers_are_cold(age):
+    names = [f"r{n}" for n in range(1, 17)]
+    cold = names[6:]
+    found = {}
+    for n in range(30):
+        for d in fleet([*started(names, cold, (100 - age) * SECOND), *WRITERS]):
+            fields = {"session": f"s{n}", "prefix": f"p{n % 5}", "prefix_tokens": 800}
+            found.setdefault(n, set()).add(sends(d.ask(n, **fields))[0].engine)
+    assert all(len(readers) == 1 for readers in found.values())
+    chosen = [next(iter(readers)) for readers in found.values()]
+    assert set(chosen) & set(cold) and set(chosen) - set(cold)
+
+
+@pytest.mark.parametrize("hot", [0.0, 0.2])
+def test_forty_gateways_together_keep_the_budget_of_a_cold_reader(hot):
+    """A tenth of them just restarted; a fifth of all traffic may share one beginning, at home there."""
+    names, rate = [f"r{n}" for n in range(1, 17)], 40
+    home = next(f"h{n}" for n in range(99) if max(names, key=lambda e: rank(f"h{n}", e)) == "r9")
+    desks = fleet([*started(names, ["r9"], 99 * SECOND), *WRITERS], restarted=FLEET // 10)
+    at = []
+    for n in range(rate * 12):
+        now = 100 * SECOND + n * SECOND // rate
+        d = desks[n * 7 % FLEET]
+        d.wait(now - d.now)
+        prefix = home if n % 100 < hot * 100 else f"p{n % 97}"
+        for a in sends(d.ask(n, session=f"s{n}", prefix=prefix, prefix_tokens=800)):
+            at += [now] if a.engine == "r9" else []
+            d.now += 1
+            d.reply(n, "read")
+    capacity = rate / len(names) / 0.35  # requests a second: readers carry about a third of what they can
+    for begin in at:
+        age = begin - 99 * SECOND
+        present = capacity * (0.26 + 0.74 * age / (12 * SECOND))
+        assert sum(begin <= t < begin + 3 * SECOND for t in at) <= 4 * present * 3
+    assert len(at) >= 12  # nor does it stand idle: its share of all, once warm, would be 30
