Gateways tell each other in a few bytes what they have in hand at each engine

Warm readers got 20 to 38 reads in 2.5 s and took 2 to 4 s for one while others had 2 to 5; p90 of the wait before a first attempt was 0.6 to 1.2 s though writers were half full, as room() takes a gateway's own streams times 40. Ruled out as the main loss: cold budgets (the warm ones were the slow ones), the homes alone (made to agree, the home credited as holder, it got worse: full homes unseen). Lines at fault: load(), ahead(), room() and projected() in policy.py, which knew no work but their own.

decide/board.py (pure): notes READ, WRITE, OVER, FORGET of 2 or 5 bytes, sums of the others' by engine; what is lost, repeated or from the dead fades. net/peers.py: one UDP socket, senders checked. policy: the others' tokens count in the cost, in foretold reads and in writers' memory; reads under 1,000 tokens are not told. A read at the home of a session unknown here is foretold by what homes were found to keep (home_kept), not as a whole prompt.

--- a/claycross/__main__.py
+++ b/claycross/__main__.py
@@ -21,12 +21,13 @@
 from .fronts.base import Front
 from .fronts.embeddings import EmbeddingsFront
 from .fronts.platform import Platform
-from .interface import EngineList, Settings
+from .interface import EngineList, Heard, Settings
 from .invariant import broken, say, unwritten
 from .membership.discovery import Discovery
 from .membership.etcd import Etcd
 from .net.address import Address, Endpoint
 from .net.loop import MS, SECOND, Loop
+from .net.peers import Peers
 from .settings import (
     Admin, BadSettings, Config, Embeddings, EtcdSource, read_admin, read_config, read_embeddings, read_etcd)
 from .upstream.calls import Engines
@@ -59,7 +60,7 @@
                  etcd: EtcdSource | None = None, http2: Http2Options | None = None):
         self.config, self.loop, self.http2 = config, Loop(), http2
         self.reread: Callable[[], tuple[Config, Address]] | None = None  # the files anew, and whom to watch
-        self.stopping = False
+        self.stopping, self.peers = False, None
         sockets = config.sockets - 48  # some are for the process itself, discovery and what is being accepted
         if embeddings:
             sockets -= embeddings.most_clients + embeddings.most_open + (admin.most_clients if admin else 0)
@@ -74,6 +75,11 @@
         else:
             self.discovery = Discovery(self.loop, config.discovery, [self.told], self.log)
         self.discovery.start_from(config.known)
+        if config.settings.peers and config.peer_listen and config.peers_all:
+            self.peers = Peers(
+                self.loop, config.peer_listen, config.peers, config.peers_all, config.settings.me,
+                lambda peer, payload: self.core.push(Heard(peer, payload)))
+            self.core.tell = self.peers.tell
         # Before the first flush: where the module has to ask, its first action is to do so.
         if config.settings.ask_for_list and not etcd:
             self.core.subscribe = self.watch
@@ -140,6 +146,8 @@
             self.log(f"stats-{core.name} open={len(core.open)} clients={len(front.clients)} {counts}")
             if out := core.excluded():
                 self.log(f"excluded-{core.name} engines={','.join(out)}")
+        if self.peers:
+            self.log("stats-peers " + " ".join(f"{k}={v}" for k, v in self.peers.figures().items()))
         loop.worst_late = 0
         loop.later(STATS, self.stats)
 
--- a/claycross/adapter.py
+++ b/claycross/adapter.py
@@ -4,6 +4,7 @@
 
 import json
 import sys
+from base64 import b64decode, b64encode
 from collections.abc import Callable
 from typing import Any
 
@@ -52,10 +53,10 @@
     "Reserved": lambda f: i.Reserved(f["msg-id"], f["engine"], f["what"] == 1),
     "Left": lambda f: i.Abandoned(f["msg-id"]),
     "Timer": lambda f: i.TimerDue(f["ref"]),
+    "Memo": lambda f: i.Heard(int(f["neighbour"]), b64decode(f.get("payload", ""))),
     "Health": lambda f: i.ProbeResult(f["engine"], f["ending"] == "ok", int(f.get("time-taken", 0)),
                                       read_report(f.get("stats"))),
 }
-PASSED_OVER = {"Memo"}  # nodes exchange no messages
 
 ACTIONS: dict[type, Callable[[Any], tuple[str, Fields]]] = {
     i.Send: lambda a: ("Place", {"msg-id": a.request, "timeout": a.timeout, "engine": a.engine}),
@@ -67,6 +68,7 @@
     i.Move: lambda a: ("Move", {"msg-id": a.request}),
     i.SetTimer: lambda a: ("Sleep", {"wait": a.delay, "ref": a.token}),
     i.Probe: lambda a: ("Inspect", {"engine": a.engine}),
+    i.Tell: lambda a: ("WritePeer", {"dst": "all", "payload": b64encode(a.payload).decode()}),
     i.Subscribe: lambda a: ("Track", {"want": True}),
     i.Log: lambda a: ("Emit", {"text": a.text}),
 }
@@ -109,7 +111,7 @@
                     del self.routers[who]
                 elif name in EVENTS:
                     pending.setdefault(who, []).append(EVENTS[name](fields))
-                elif name not in PASSED_OVER:
+                else:
                     raise BadInput(f"event {name} is not known")
             except KeyError as err:
                 raise BadInput(f"event {name}: field or value {err} is missing or not known") from None
--- /dev/null
+++ b/claycross/decide/board.py
@@ -0,0 +1,163 @@
+"""What the other gateways have in hand at each engine, as they tell in a few bytes, and what this one tells.
+
+Owns the form of the notes and the sums over them. It must never take a note for more than a hint: what is
+lost, late, repeated or from a gateway that died changes sums for a while and nothing else, all of it bounded.
+
+A payload holds notes one behind the other, most significant byte first. Each starts with 16 bits: a kind (2
+bits) and the sender's number for the piece of work (14 bits, going round). READ and WRITE go on with an
+engine (16 bits of a hash of its id: two that share one share their sums) and a size (8 bits, an eighth of a
+power of two each). OVER stands alone; with FORGET as number all that the sender told before is void. BAD has
+an engine and a size, too: the sender finds that engine unfit.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterator
+
+OVER, READ, WRITE, BAD = range(4)
+FORGET = 0x3FFF  # as number: the sender has just started
+MOST = 240  # bytes of one payload; a datagram takes 256
+STEPS = 8  # of the size's scale for each doubling
+READ_LIFE, WRITE_LIFE, BAD_LIFE = 8, 30, 4  # seconds until a note that nobody took back is forgotten
+SECOND = 1_000_000_000
+OUTSTANDING = 2048  # notes kept of one sender
+
+Note = tuple[int, int, int, int]  # kind, number, engine's tag, size in tokens
+
+
+def to_scale(size: float) -> int:
+    return min(255, round(STEPS * math.log2(max(1.0, size))))
+
+
+def from_scale(step: int) -> int:
+    return round(2 ** (step / STEPS))
+
+
+def encode(kind: int, number: int, tag: int = 0, size: float = 0.0) -> bytes:
+    head = (kind << 14 | number & FORGET).to_bytes(2)
+    return head if kind == OVER else head + tag.to_bytes(2) + bytes([to_scale(size)])
+
+
+def decode(payload: bytes) -> Iterator[Note]:
+    """The notes of a payload, up to the first that is cut short."""
+    at = 0
+    while at + 2 <= len(payload):
+        head = int.from_bytes(payload[at:at + 2])
+        kind, number = head >> 14, head & FORGET
+        if kind == OVER:
+            at += 2
+            yield kind, number, 0, 0
+        elif at + 5 <= len(payload):
+            yield kind, number, int.from_bytes(payload[at + 2:at + 4]), from_scale(payload[at + 4])
+            at += 5
+        else:
+            return
+
+
+class Board:
+    """Sums of what the other gateways told, by engine; and the notes that are to be told.
+
+    `tag_of` gives an engine's 16 bits. Sizes are tokens, times nanoseconds, senders the gateways' numbers.
+    """
+
+    def __init__(self, nodes: int, tag_of: Callable[[str], int]):
+        self.nodes, self.tag_of = nodes, tag_of
+        self.tags: dict[str, int] = {}
+        self.notes: dict[int, dict[int, tuple[int, int, int, int]]] = {}  # by sender and number
+        self.sums: dict[tuple[int, int], float] = {}  # kind and tag -> tokens
+        self.blamed: dict[int, dict[int, int]] = {}  # tag -> sender -> when
+        self.heard = -1 << 62
+        self.last, self.mine = 0, dict[tuple[int, int], int]()  # request and attempt -> number
+        self.queue = bytearray(encode(OVER, FORGET))
+
+    def tag(self, engine: str) -> int:
+        if engine not in self.tags:
+            if len(self.tags) > 4096:
+                self.tags.clear()
+            self.tags[engine] = self.tag_of(engine)
+        return self.tags[engine]
+
+    # ------------------------------------------------------------ what this gateway tells
+
+    def begins(self, kind: int, work: tuple[int, int], engine: str, size: float) -> None:
+        """`work` (a request's and an attempt's number) was sent there: `size` tokens to read or hold."""
+        self.last = (self.last + 1) % FORGET
+        self.mine[work] = self.last
+        self.queue += encode(kind, self.last, self.tag(engine), size)
+
+    def ends(self, work: tuple[int, int]) -> None:
+        if (number := self.mine.pop(work, None)) is not None:
+            self.queue += encode(OVER, number)
+
+    def blames(self, engine: str) -> None:
+        self.queue += encode(BAD, 0, self.tag(engine), 1)
+
+    def due(self) -> Iterator[bytes]:
+        """The payloads that are to be sent now."""
+        queue, self.queue = bytes(self.queue), bytearray()
+        while queue:
+            size = 0
+            for kind, *_ in decode(queue[:MOST]):
+                size += 2 if kind == OVER else 5
+            yield queue[:size]
+            queue = queue[size:]
+
+    # ------------------------------------------------------------ what it hears
+
+    def hear(self, now: int, sender: int, payload: bytes) -> list[int]:
+        """Takes in a payload; the tags of engines that the sender finds unfit."""
+        if not 0 <= sender < self.nodes:
+            return []
+        self.heard, blamed = now, []
+        notes = self.notes.setdefault(sender, {})
+        for kind, number, tag, size in decode(payload):
+            if kind == BAD:
+                self.blamed.setdefault(tag, {})[sender] = now
+                blamed.append(tag)
+                continue
+            if number == FORGET:
+                for n in list(notes):
+                    self.drop(notes, n)
+                continue
+            self.drop(notes, number)
+            if kind != OVER and len(notes) < OUTSTANDING:
+                notes[number] = (kind, tag, size, now)
+                self.sums[kind, tag] = self.sums.get((kind, tag), 0.0) + size
+        return blamed
+
+    def drop(self, notes: dict[int, tuple[int, int, int, int]], number: int) -> None:
+        if (note := notes.pop(number, None)) is None:
+            return
+        kind, tag, size, _ = note
+        left = self.sums.get((kind, tag), 0.0) - size
+        if left > 0.5:
+            self.sums[kind, tag] = left
+        else:
+            self.sums.pop((kind, tag), None)
+
+    def age(self, now: int) -> None:
+        """Forgets what was told long ago: the word of its end was lost, or its sender has died."""
+        life = {READ: READ_LIFE * SECOND, WRITE: WRITE_LIFE * SECOND}
+        for notes in self.notes.values():
+            for n in [n for n, (kind, _, _, at) in notes.items() if now - at > life[kind]]:
+                self.drop(notes, n)
+        for tag in list(self.blamed):
+            senders = {s: at for s, at in self.blamed[tag].items() if now - at <= BAD_LIFE * SECOND}
+            if senders:
+                self.blamed[tag] = senders
+            else:
+                del self.blamed[tag]
+
+    def others(self, kind: int, engine: str) -> float:
+        """Tokens that the other gateways are having read there, or hold there."""
+        return self.sums.get((kind, self.tag(engine)), 0.0)
+
+    def blamers(self, engine: str, now: int) -> int:
+        """Gateways that found it unfit of late."""
+        found = self.blamed.get(self.tag(engine), {})
+        return sum(now - at <= BAD_LIFE * SECOND for at in found.values())
+
+    def live(self, now: int) -> bool:
+        """Whether the others are heard at all: their silence must not be taken for idleness."""
+        return now - self.heard < READ_LIFE * SECOND
--- a/claycross/interface.py
+++ b/claycross/interface.py
@@ -55,6 +55,7 @@
     may_duplicate: bool = False
     may_probe: bool = False
     may_reserve: bool = False
+    peers: bool = False  # gateways may send each other short messages
     hints_hold_off: bool = False
     max_hold_off: int = 0
     idle_close: int = 0  # an unused connection closes after this
@@ -176,7 +177,15 @@
     report: LoadReport | None = None
 
 
-Event = EngineList | Arrival | StreamBegan | Outcome | Reserved | Abandoned | TimerDue | ProbeResult
+@dataclass(slots=True)
+class Heard:
+    """A short message from another gateway; late, repeated or never."""
+
+    peer: int  # its number, as `Settings.me`
+    payload: bytes
+
+
+Event = EngineList | Arrival | StreamBegan | Outcome | Reserved | Abandoned | TimerDue | ProbeResult | Heard
 
 # ---------------------------------------------------------------- actions
 
@@ -241,6 +250,13 @@
     engine: str
 
 
+@dataclass(slots=True)
+class Tell:
+    """A short message to all other gateways, 256 bytes at most."""
+
+    payload: bytes
+
+
 @dataclass(slots=True)
 class Subscribe:
     """Ask discovery for its changes from now on."""
@@ -251,4 +267,4 @@
     text: str
 
 
-Action = Send | Reserve | Release | Cancel | Refuse | Fail | Move | SetTimer | Probe | Subscribe | Log
+Action = Send | Reserve | Release | Cancel | Refuse | Fail | Move | SetTimer | Probe | Tell | Subscribe | Log
--- /dev/null
+++ b/claycross/net/peers.py
@@ -0,0 +1,56 @@
+"""Datagrams between gateways: one socket, bytes in and bytes out.
+
+Owns the socket, the bound on what is taken in a round, and the check of who sent it. It must never know what
+the bytes mean, wait for anybody, or send more than the platform lets through.
+"""
+
+from __future__ import annotations
+
+import select
+import socket
+from collections.abc import Callable
+
+from .address import Address
+from .loop import Loop
+
+LARGEST = 256  # bytes: a longer datagram would void the service
+A_ROUND = 64  # datagrams taken in one round of the loop; more wait in the kernel, or are lost there
+
+
+class Peers:
+    def __init__(self, loop: Loop, listen: Address, peers: tuple[Address, ...], everyone: Address, me: int,
+                 heard: Callable[[int, bytes], None]):
+        self.loop, self.everyone, self.me, self.heard = loop, everyone, me, heard
+        self.numbers = {address: n for n, address in enumerate(peers)}
+        self.sent = self.taken = self.strange = self.lost = 0
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(listen)
+        loop.watch(self.sock.fileno(), select.POLLIN, self.ready)
+
+    def tell(self, payload: bytes) -> None:
+        """To all other gateways, or lost."""
+        if len(payload) > LARGEST:
+            self.lost += 1
+            return
+        try:
+            self.sock.sendto(payload, self.everyone)
+            self.sent += 1
+        except OSError:
+            self.lost += 1
+
+    def ready(self, _: int) -> None:
+        for _ in range(A_ROUND):
+            try:
+                payload, sender = self.sock.recvfrom(LARGEST + 1)
+            except OSError:  # nothing more, or word that an earlier one found nobody
+                return
+            number = self.numbers.get(sender, -1)
+            if number < 0 or len(payload) > LARGEST:
+                self.strange += 1
+            elif number != self.me:
+                self.taken += 1
+                self.heard(number, payload)
+
+    def figures(self) -> dict[str, int]:
+        return {"told": self.sent, "heard": self.taken, "strange": self.strange, "untold": self.lost}
--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -13,9 +13,10 @@
 from statistics import median
 from typing import Any
 
+from .decide.board import READ, WRITE, Board
 from .interface import (
-    Abandoned, Action, Arrival, Cancel, ClassSpec, EngineEntry, EngineList, Event, Fail, LoadReport, Log,
-    Outcome, Refuse, Release, Send, SetTimer, Settings, StreamBegan, Subscribe, TimerDue)
+    Abandoned, Action, Arrival, Cancel, ClassSpec, EngineEntry, EngineList, Event, Fail, Heard, LoadReport,
+    Log, Outcome, Refuse, Release, Send, SetTimer, Settings, StreamBegan, Subscribe, Tell, TimerDue)
 
 MS, SECOND = 1_000_000, 1_000_000_000
 
@@ -41,6 +42,8 @@
 WRITER_FULL = 0.85  # share of a writer's memory up to which reads are started for it
 LAG_GAIN, LAG_QUANTILES = 0.1, (0.5, 0.8)  # of the factors by which reads outlast what was foretold:
 WRITE_LAG, LIKELY, SAFE = 2.0, 0, 1  # usual first tokens kept free; quantile that refuses, that sends
+HOME_KEPT, HOME_GAIN = 0.5, 0.1  # share of a prompt found kept at its home: until seen; a sample's weight
+TELL_READ = 1000  # tokens from which a read is told to the other nodes: smaller ones are over first
 COLD_SAFETY, COLD_ARRIVALS = 0.8, 0.3  # share of the cold budget used, and of arrivals taken as served
 RATE_TIME = 8 * SECOND  # over which rates are averaged
 HOLD_STATE, END_MARGIN = 0.5, 3  # of release-within, for a state; ticks before a request's end, to answer it
@@ -57,6 +60,7 @@
         self.work, self.expected, self.claimed = work, expected, claimed
         self.patience = int(PATIENCE * expected + PATIENCE_MIN)
         self.ahead, self.result, self.cancelled = 0.0, "", False  # tokens that were to be read before it
+        self.home = False  # sent to a home of what this node does not know
 
 
 class Request:
@@ -326,14 +330,17 @@
         self.table = PrefixTable()
         self.health = EngineHealth(settings, self.rng)
         self.admission = Admission(settings)
+        self.board = Board(settings.nodes, lambda engine: int(rank("tag", engine) * 65536))
+        self.tells = settings.peers and settings.nodes > 1
         self.requests: dict[int, Request] = {}
         self.held: dict[int, Request] = {}  # waiting before a read
         self.staged: dict[int, Request] = {}  # read, waiting for a writer
         self.sweep_at = self.aged = self.list_fails = 0
-        self.lags, self.started = [1.0, 1.0], False
+        self.lags, self.home_kept, self.started = [1.0, 1.0], HOME_KEPT, False
         self.logged: dict[str, int] = {}
         self.handlers = {Outcome: self.on_outcome, Arrival: self.on_arrival, StreamBegan: self.on_began,
-                         TimerDue: self.on_timer, Abandoned: self.on_abandoned, EngineList: self.on_list}
+                         TimerDue: self.on_timer, Abandoned: self.on_abandoned, EngineList: self.on_list,
+                         Heard: lambda event: self.board.hear(self.now, event.peer, event.payload)}
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         self.now, self.acts = now, [] if self.started or not self.s.ask_for_list else [Subscribe()]
@@ -343,6 +350,8 @@
             self.handlers.get(type(event), lambda _: None)(event)
         self.pump()
         self.arm()
+        if self.tells:
+            self.acts += map(Tell, self.board.due())
         return self.acts
 
     def on_list(self, event: EngineList) -> None:
@@ -449,6 +458,7 @@
         began = (r.id, a.n) not in e.pending
         e.pending.pop((r.id, a.n), None)
         e.streams.pop(r.id, None)
+        self.board.ends((r.id, a.n))
         if a.reads:
             e.reading = max(0.0, e.reading - a.work)
         if event.report is not None:
@@ -478,6 +488,9 @@
                              for lag, q in zip(self.lags, LAG_QUANTILES, strict=True)]
                 work = a.ahead + max(0, r.event.prompt - event.found_kept) + OVERHEAD_TOKENS
                 self.health.sample(e, event.took / work, self.now)
+                if a.home and r.event.prompt:
+                    share = min(1.0, event.found_kept / r.event.prompt)
+                    self.home_kept += HOME_GAIN * (share - self.home_kept)
                 e.misses = e.misses + 1 if event.found_kept < a.claimed / 4 else 0
                 if e.misses >= MISSES:
                     self.table.forget_reader(e.id)  # flushed: its other credits are as doubtful
@@ -525,7 +538,7 @@
             r.cls.group == "cell" and mine.cell == its.cell))
 
     def send(self, r: Request, e: Engine, reads: bool, work: float, expected: float,
-             claimed: int = 0) -> bool:
+             claimed: int = 0, home: bool = False) -> bool:
         """The one gate: every send passes here, and all rules that forbid one are checked here."""
         if (r.stage == "ended" or self.now >= r.deadline or len(r.attempts) >= self.s.max_attempts
                 or (r.out and not self.s.may_duplicate) or e.entry.condition != "ready"
@@ -533,11 +546,14 @@
             return False
         in_place = not reads and r.state_at is None
         a = Attempt(len(r.attempts), e, reads, in_place, self.now, work, expected, claimed)
+        a.home = home
         timeout = int(a.patience * ALIVE) if self.s.may_cancel else a.patience
         r.attempts.append(a)
         r.out += 1
         e.pending[(r.id, a.n)] = a
         e.sends.append((self.now, 1.0))
+        if self.tells and (not reads or work >= TELL_READ):
+            self.board.begins(READ if reads else WRITE, (r.id, a.n), e.id, work if reads else r.need)
         self.health.memo.pop(("choosable", e.role), None)  # on trial now, or its cold share used
         if reads:
             a.ahead = self.ahead(e)
@@ -581,7 +597,8 @@
 
     def load(self, e: Engine, mean_report: float) -> float:
         """This router's unfinished reading tokens there plus reported ones; a slow engine's weigh more."""
-        return (e.reading + self.reported(e, mean_report)) * self.health.slowness(e)
+        others = self.board.others(READ, e.id)
+        return (e.reading + (others or self.reported(e, mean_report))) * self.health.slowness(e)
 
     def reported(self, e: Engine, unheard: float) -> float:
         if e.report is None or e.report.waiting_tokens is None:
@@ -590,7 +607,7 @@
 
     def ahead(self, e: Engine) -> float:
         """Tokens to be read there before a new one: the report holds this router's own, the larger counts."""
-        return max(e.reading, self.reported(e, 0.0))
+        return max(e.reading + self.board.others(READ, e.id), self.reported(e, 0.0))
 
     def read_time(self, e: Engine, work: float) -> float:
         pace = self.health.typical("read") * self.health.slowness(e)
@@ -600,8 +617,10 @@
         """Corrected by how much longer reads took of late than foretold: other nodes' work is not seen."""
         return self.now + reading * max(1.0, self.lags[lag]) + first * self.health.typical("write") <= r.aim
 
-    def pick_reader(self, r: Request, readers: list[Engine]) -> tuple[Engine, int]:
-        """E2: exploit the holder of the longest match, or explore by load + eviction + running cost."""
+    def pick_reader(self, r: Request, readers: list[Engine]) -> tuple[Engine, int, int, bool]:
+        """E2: exploit the holder of the longest match, or explore by load + eviction + running cost.
+
+        Returns the reader, the tokens likely kept there, those credited to it here, whether it is a home."""
         event = r.event
         heard = [self.reported(e, 0.0) for e in readers if e.report and e.report.waiting_tokens is not None]
         unheard = sum(heard) / len(heard) if heard else 0.0
@@ -612,6 +631,9 @@
         homes = [] if event.session in self.table.sessions else self.table.homes(
             event, readers, self.health.warmth)
         best = max(usable.values())
+        likely = dict(usable)  # at its home other nodes had it read: that much was found kept there of late
+        for e in homes:
+            likely[e.id] = max(likely[e.id], int(self.home_kept * event.prompt))
         if best > event.prompt - best:
             holders = [e for e in readers if usable[e.id] == best or e in homes[:len(homes) > 1]]
         else:  # unknown here: its home; a longer match than the prefix's may be known to another node
@@ -621,7 +643,7 @@
         def cost(e: Engine) -> float:
             share = e.report.memory_share if e.report else None
             eviction = self.table.credit.get(e.id, 0) * (MEMORY_UNKNOWN if share is None else share)
-            running = (event.prompt - usable[e.id]) * self.health.slowness(e)
+            running = (event.prompt - likely[e.id]) * self.health.slowness(e)
             return loads[e.id] + EVICTION_WEIGHT * eviction + running
         chosen = min(readers, key=lambda e: (cost(e), -rank(event.session or str(r.id), e.id)))
         if holders:
@@ -629,20 +651,26 @@
             # against a hot prefix, of whose load this router sees a slice, and a slowed holder. When all are
             # late it stays: scattered prefixes are read anew everywhere, and readers never catch up.
             holder = min(holders, key=lambda e: (loads[e.id], -rank(event.session, e.id)))
-            late, there = (not self.in_time(r, self.read_time(e, event.prompt - usable[e.id]), SAFE)
+            late, there = (not self.in_time(r, self.read_time(e, event.prompt - likely[e.id]), SAFE)
                            for e in (holder, chosen))
             chosen = chosen if late and not there else holder
-        return chosen, usable[chosen.id]
+        return chosen, likely[chosen.id], usable[chosen.id], chosen in homes
 
     def projected(self, e: Engine) -> float:  # this router's streams there, plus the last report
         share = e.report.memory_share if e.report else None
-        return sum(e.streams.values()) + (share or 0.0) * e.memory
+        return sum(e.streams.values()) + (self.board.others(WRITE, e.id) or (share or 0.0) * e.memory)
+
+    def sharing(self) -> int:
+        """Nodes among which room must be divided: none has to stay for those whose work is known."""
+        return 1 if self.board.live(self.now) else self.s.nodes
 
     def room(self, e: Engine) -> float:
         """Memory that is likely free, fleet-wide: by the report, else taking nodes to be alike."""
         if self.now < e.full_until:
             return 0.0
         mine = sum(e.streams.values())
+        if self.board.live(self.now):
+            return WRITER_FULL * e.memory - mine - self.board.others(WRITE, e.id)
         share = e.report.memory_share if e.report else None
         if share is None:
             return WRITER_FULL * e.memory - mine * self.s.nodes
@@ -691,7 +719,7 @@
         writers = self.writers()
         # Room at an engine on trial is no room: the empty look of a dead writer would let reads pile up.
         proven = [e for e in writers if not e.ejections] or writers
-        free = sum(max(0.0, self.room(e)) for e in proven) / self.s.nodes - sum(
+        free = sum(max(0.0, self.room(e)) for e in proven) / self.sharing() - sum(
             r.need for r in self.requests.values() if r.stage in ("reading", "staged"))
         for r in sorted(self.held.values(), key=lambda r: (-self.admission.worth(r), r.came, r.id)):
             if r.holds and self.now - r.settled > HOLD_STATE * self.s.release_within:
@@ -715,17 +743,17 @@
         if not fresh:
             able = self.s.writers_read and not self.health.peers("read")
             return able and self.in_place(r, self.health.choosable("write", self.now))
-        e, kept = self.pick_reader(r, fresh)
+        e, kept, claimed, home = self.pick_reader(r, fresh)
         work = r.event.prompt - kept
         expected = self.read_time(e, work)
-        if e.reading and not self.in_time(r, expected, SAFE, WRITE_LAG):
+        if self.ahead(e) and not self.in_time(r, expected, SAFE, WRITE_LAG):
             if self.in_time(r, expected, LIKELY, WRITE_LAG):
                 return False  # doubtful: held back, at no reader's expense, until one of the two is plain
             # Load shedding: late, it would make others late. Guards against any lasting lack of readers.
             self.give_up(r, int(expected), "readers")
             self.log("late", "readers are behind: requests are refused early")
             return True
-        return self.send(r, e, True, float(work), expected, kept)
+        return self.send(r, e, True, float(work), expected, claimed, home)
 
     def in_place(self, r: Request, engines: list[Engine]) -> bool:
         """A mixed server (or, with no readers at all, a writer that can) reads and answers at once."""
@@ -748,6 +776,7 @@
         if (span := self.now - self.aged) > SECOND:
             self.aged = self.now
             self.table.age(self.now, span)
+            self.board.age(self.now)
             self.requests = {n: r for n, r in self.requests.items() if self.now - r.deadline <= FORGET}
         due = self.now + (SWEEP if self.held or self.staged else SWEEP_IDLE)
         if self.requests and (self.sweep_at <= self.now or due < self.sweep_at - SWEEP):
--- a/claycross/settings.py
+++ b/claycross/settings.py
@@ -46,6 +46,7 @@
         ask_for_list=raw.get("membership-mode") == "ask", max_attempts=int(allowed["send-cap"]),
         may_cancel=bool(allowed.get("may-cancel")), may_duplicate=bool(allowed.get("may-duplicate")),
         may_probe=bool(allowed.get("may-probe")), may_reserve=bool(info.get("may-reserve")),
+        peers=bool(allowed.get("peers")),
         hints_hold_off=bool(allowed.get("retry-after")), max_hold_off=int(allowed.get("max-retry-after", 0)),
         idle_close=int(allowed.get("conn-idle", 0)), release_within=int(info["release-within"]),
         writers_read=bool(info.get("writers-read")), resume=bool(info.get("resume")),
@@ -74,6 +75,9 @@
     known: Fields
     settings: i.Settings
     dial_timeout: int
+    peer_listen: tuple[str, int] | None = None  # where the other gateways' messages come
+    peers: tuple[tuple[str, int], ...] = ()  # of all gateways by their numbers, this one's included
+    peers_all: tuple[str, int] | None = None  # reaches all of them
 
 
 def read_address(text: Any, what: str) -> tuple[str, int]:
@@ -102,7 +106,10 @@
             discovery=read_address(env.get("PROXY_DISCOVERY") or raw["discovery"], "discovery"),
             seed=int(seed, 16), sockets=int(limits.get("sockets", 1024)),
             known=raw.get("known") or {}, settings=read_settings(settings),
-            dial_timeout=int(settings["permissions"].get("dial-timeout", 250_000_000)))
+            dial_timeout=int(settings["permissions"].get("dial-timeout", 250_000_000)),
+            peer_listen=read_address(raw["peer_listen"], "peer_listen") if raw.get("peer_listen") else None,
+            peers=tuple(read_address(p, "peers") for p in raw.get("peers") or ()),
+            peers_all=read_address(raw["peers_all"], "peers_all") if raw.get("peers_all") else None)
     except KeyError as err:
         raise BadSettings(f"configuration {path}: {err} is missing") from None
     except (TypeError, ValueError, AttributeError, OverflowError) as err:
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -328,6 +328,7 @@
     http2: dict | None = None  # changes to that file
     family: dict = field(default_factory=dict)  # changes to `family-info`
     sockets: int = 512
+    more: dict = field(default_factory=dict)  # of the configuration
 
     def __enter__(self):
         self.discovery = Discovery().start()
@@ -346,7 +347,7 @@
         known = list(self.discovery.targets.values())
         config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "1f",
                   "limits": {"sockets": self.sockets}, "known": {"rev": 1, "all": True, "targets": known},
-                  "settings": settings}
+                  "settings": settings, **self.more}
         self.reconfigure(config)
         command = [sys.executable, *(["-O"] if self.release else []), "-m", "claycross", "serve",
                    "--config", str(self.folder / "config.json")]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,6 +9,7 @@
 
 from claycross import interface as i
 from claycross.core import Core
+from claycross.decide.board import READ
 from claycross.net.loop import Timer
 from claycross.policy import rank
 from tests.desk import MS, READERS, SECOND, WRITERS, Desk, Outcome, Release, entry, kinds, sends, settings
@@ -184,3 +185,35 @@
         present = capacity * (0.26 + 0.74 * age / (12 * SECOND))
         assert sum(begin <= t < begin + 3 * SECOND for t in at) <= 4 * present * 3
     assert len(at) >= 12  # nor does it stand idle: its share of all, once warm, would be 30
+
+
+def together(desks, now):
+    """Hands every gateway's new messages to all others."""
+    for d in desks:
+        for _, a in d.log[d.__dict__.setdefault("told", 0):]:
+            if isinstance(a, i.Tell):
+                for other in desks:
+                    if other is not d:
+                        other.now = max(other.now, now)
+                        other.do(i.Heard(d.settings.me, a.payload))
+        d.told = len(d.log)
+
+
+@pytest.mark.parametrize("peers", [True, False])
+def test_forty_gateways_that_tell_each_other_do_not_pile_up_on_one_reader(peers):
+    """Long prompts that nobody has read, all of one beginning: alone, each gateway sees an idle home."""
+    names = [f"r{n}" for n in range(1, 17)]
+    desks = fleet([*names, *WRITERS], peers=peers)
+    sent = []
+    for n, d in enumerate(desks):
+        d.now = 100 * SECOND + n * 20 * MS
+        asked = d.ask(n, session=f"s{n}", prefix="p", prefix_tokens=3000, prompt=6000)
+        sent += [a.engine for a in sends(asked)]
+        together(desks, d.now)
+    worst = max(map(sent.count, names))
+    assert len(sent) == FLEET and (worst <= 8 if peers else worst == FLEET)
+    for d in desks:  # no gateway takes what it has in hand itself for another's
+        own = sum(e.reading for e in d.router.health.engines.values())
+        others = sum(d.router.board.others(READ, e) for e in names)
+        assert not peers or own + others == pytest.approx(sum(
+            e.reading for x in desks for e in x.router.health.engines.values()), rel=0.1)
