Failures at an engine are told to the other gateways; words of an end wait for company

At fault: bad() and eject() in policy.py, which knew their own failures only.

A failure is told (BAD, 5 bytes); two voices, the own one included, put an engine out for the usual time. A cold home is not taken to keep a prompt. Tests: forty gateways meet such an engine 6 times at most; one voice or slowness puts none out; nothing is kept to be told where gateways may not speak.

--- a/claycross/decide/board.py
+++ b/claycross/decide/board.py
@@ -6,8 +6,8 @@
 A payload holds notes one behind the other, most significant byte first. Each starts with 16 bits: a kind (2
 bits) and the sender's number for the piece of work (14 bits, going round). READ and WRITE go on with an
 engine (16 bits of a hash of its id: two that share one share their sums) and a size (8 bits, an eighth of a
-power of two each). OVER stands alone; with FORGET as number all that the sender told before is void. BAD has
-an engine and a size, too: the sender finds that engine unfit.
+power of two each); told of a number that stands, they take its place. OVER stands alone; with FORGET as
+number all that the sender told before is void. BAD has an engine and a size, too: the sender finds it unfit.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 READ_LIFE, WRITE_LIFE, BAD_LIFE = 8, 30, 4  # seconds until a note that nobody took back is forgotten
 SECOND = 1_000_000_000
 OUTSTANDING = 2048  # notes kept of one sender
+PATIENCE = 300_000_000  # for which the word of an end waits for other notes to go with
 
 Note = tuple[int, int, int, int]  # kind, number, engine's tag, size in tokens
 
@@ -68,8 +69,8 @@
         self.sums: dict[tuple[int, int], float] = {}  # kind and tag -> tokens
         self.blamed: dict[int, dict[int, int]] = {}  # tag -> sender -> when
         self.heard = -1 << 62
-        self.last, self.mine = 0, dict[tuple[int, int], int]()  # request and attempt -> number
-        self.queue = bytearray(encode(OVER, FORGET))
+        self.last, self.mine = 0, dict[int, int]()  # request -> number
+        self.queue, self.later, self.since = bytearray(encode(OVER, FORGET)), bytearray(), 0
 
     def tag(self, engine: str) -> int:
         if engine not in self.tags:
@@ -80,22 +81,28 @@
 
     # ------------------------------------------------------------ what this gateway tells
 
-    def begins(self, kind: int, work: tuple[int, int], engine: str, size: float) -> None:
-        """`work` (a request's and an attempt's number) was sent there: `size` tokens to read or hold."""
-        self.last = (self.last + 1) % FORGET
-        self.mine[work] = self.last
-        self.queue += encode(kind, self.last, self.tag(engine), size)
+    def begins(self, kind: int, request: int, engine: str, size: float) -> None:
+        """It was sent there: `size` tokens to read or to hold. It takes the place of what it had in hand."""
+        if (number := self.mine.get(request)) is None:
+            number = self.last = (self.last + 1) % FORGET
+            self.mine[request] = number
+        self.queue += encode(kind, number, self.tag(engine), size)
 
-    def ends(self, work: tuple[int, int]) -> None:
-        if (number := self.mine.pop(work, None)) is not None:
-            self.queue += encode(OVER, number)
+    def ends(self, request: int) -> None:
+        if (number := self.mine.pop(request, None)) is not None:
+            self.later += encode(OVER, number)
 
     def blames(self, engine: str) -> None:
         self.queue += encode(BAD, 0, self.tag(engine), 1)
 
-    def due(self) -> Iterator[bytes]:
+    def due(self, now: int) -> Iterator[bytes]:
         """The payloads that are to be sent now."""
-        queue, self.queue = bytes(self.queue), bytearray()
+        if not self.later:
+            self.since = now
+        if not self.queue and now - self.since < PATIENCE:
+            return
+        queue = bytes(self.later + self.queue)
+        self.queue, self.later, self.since = bytearray(), bytearray(), now
         while queue:
             size = 0
             for kind, *_ in decode(queue[:MOST]):
--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -36,6 +36,7 @@
 PACE_SAMPLES, RECENT = 3, 11  # samples that are believed in full, and those of a role that are its median
 SLOW, FAILS = 3.0, 2  # times its peers' median pace, and failures in a row, that eject
 EJECT_BASE, EJECT_MAX = SECOND, 8 * SECOND  # first ejection, doubling up to the second figure
+BLAMERS = 2  # nodes that met a failure there of late, this one included, for the same
 EJECT_SHARE, EJECT_ARRIVALS = 0.6, 4  # of a role at most, else the list is believed; arrivals it outlasts
 DIALS_FAILED, FULL_PAUSE = 1 / (8 * SECOND), 150 * MS  # rate that keeps to open ones; of a full writer
 BUCKET, RETRY_SHARE, RETRY_CAP = 2.0, 0.25, 12.0  # least quota depth; retries a request earns, saved most
@@ -179,6 +180,7 @@
     def __init__(self, settings: Settings, rng: random.Random):
         self.settings, self.rng = settings, rng
         self.engines: dict[str, Engine] = {}
+        self.blames: Callable[[str], None] = lambda engine: None  # tells the other nodes of a failure
         self.recent = {role: deque([float(READ_PACE if role == "read" else FIRST_TOKEN)], maxlen=RECENT)
                        for role in ("read", "write", "both")}  # the last paces, after a starting value
         self.memo, self.now = dict[tuple[str, str], Any](), 0  # of this batch
@@ -221,7 +223,9 @@
     def good(self, e: Engine) -> None:
         e.fails, e.ejections = 0, 0 if e.heard >= e.ejected_until else e.ejections
 
-    def bad(self, e: Engine, now: int) -> None:
+    def bad(self, e: Engine, now: int, silent: bool = False) -> None:
+        if not (silent and self.cold(e, now)):  # a cold one that is slow to answer is no one else's concern
+            self.blames(e.id)
         e.fails += 1 if now - e.heard < EJECT_MAX else FAILS  # met too seldom to wait for a second failure
         if e.fails >= FAILS or e.ejections:
             self.eject(e, now)
@@ -332,15 +336,18 @@
         self.admission = Admission(settings)
         self.board = Board(settings.nodes, lambda engine: int(rank("tag", engine) * 65536))
         self.tells = settings.peers and settings.nodes > 1
+        if self.tells:
+            self.health.blames = self.board.blames
         self.requests: dict[int, Request] = {}
         self.held: dict[int, Request] = {}  # waiting before a read
         self.staged: dict[int, Request] = {}  # read, waiting for a writer
         self.sweep_at = self.aged = self.list_fails = 0
-        self.lags, self.home_kept, self.started = [1.0, 1.0], HOME_KEPT, False
+        self.lags, self.started = [1.0, 1.0], False
+        self.home_kept = HOME_KEPT
         self.logged: dict[str, int] = {}
         self.handlers = {Outcome: self.on_outcome, Arrival: self.on_arrival, StreamBegan: self.on_began,
                          TimerDue: self.on_timer, Abandoned: self.on_abandoned, EngineList: self.on_list,
-                         Heard: lambda event: self.board.hear(self.now, event.peer, event.payload)}
+                         Heard: self.on_heard}
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         self.now, self.acts = now, [] if self.started or not self.s.ask_for_list else [Subscribe()]
@@ -351,7 +358,7 @@
         self.pump()
         self.arm()
         if self.tells:
-            self.acts += map(Tell, self.board.due())
+            self.acts += map(Tell, self.board.due(self.now))
         return self.acts
 
     def on_list(self, event: EngineList) -> None:
@@ -379,6 +386,15 @@
                 memory = self.s.memory.get(entry.kind, 0)
                 engines[entry.engine] = Engine(entry, self.s.roles[entry.kind], memory)
 
+    def on_heard(self, event: Heard) -> None:
+        """Others' failures count with this node's own. Guards each of many nodes against finding out for
+        itself about an engine that fails fast, whose emptiness draws requests; it could spread a false alarm,
+        so it takes two voices, and only failures are told, never slowness, which is mostly load."""
+        for tag in self.board.hear(self.now, event.peer, event.payload):
+            for e in [e for e in self.health.engines.values() if self.board.tag(e.id) == tag]:
+                if self.board.blamers(e.id, self.now) + min(1, e.fails) >= BLAMERS:
+                    self.health.eject(e, self.now)
+
     def drop(self, engine: str) -> None:
         if e := self.health.engines.pop(engine, None):
             e.entry.condition = "gone"  # attempts still out there keep their accounts on it
@@ -458,7 +474,8 @@
         began = (r.id, a.n) not in e.pending
         e.pending.pop((r.id, a.n), None)
         e.streams.pop(r.id, None)
-        self.board.ends((r.id, a.n))
+        if event.result != "read":  # then the write takes its place
+            self.board.ends(r.id)
         if a.reads:
             e.reading = max(0.0, e.reading - a.work)
         if event.report is not None:
@@ -473,7 +490,7 @@
             e.heard = 0
         if event.result in ("timeout", "connect_failed", "cancelled"):
             if event.result == "connect_failed" or (r.stage != "ended" and e.heard < a.sent):
-                self.health.bad(e, self.now)
+                self.health.bad(e, self.now, silent=True)
             return
         e.heard = self.now
         if event.result in ("reset", "error"):
@@ -553,7 +570,7 @@
         e.pending[(r.id, a.n)] = a
         e.sends.append((self.now, 1.0))
         if self.tells and (not reads or work >= TELL_READ):
-            self.board.begins(READ if reads else WRITE, (r.id, a.n), e.id, work if reads else r.need)
+            self.board.begins(READ if reads else WRITE, r.id, e.id, work if reads else r.need)
         self.health.memo.pop(("choosable", e.role), None)  # on trial now, or its cold share used
         if reads:
             a.ahead = self.ahead(e)
@@ -584,6 +601,7 @@
     def finish(self, r: Request) -> None:  # forgotten once its last attempt is over; what that left is let go
         if r.out == 0:
             self.release(r)
+            self.board.ends(r.id)
             self.requests.pop(r.id, None)
 
     def release(self, r: Request) -> None:
@@ -632,7 +650,7 @@
             event, readers, self.health.warmth)
         best = max(usable.values())
         likely = dict(usable)  # at its home other nodes had it read: that much was found kept there of late
-        for e in homes:
+        for e in (e for e in homes if not self.health.cold(e, self.now)):
             likely[e.id] = max(likely[e.id], int(self.home_kept * event.prompt))
         if best > event.prompt - best:
             holders = [e for e in readers if usable[e.id] == best or e in homes[:len(homes) > 1]]
@@ -779,7 +797,7 @@
             self.board.age(self.now)
             self.requests = {n: r for n, r in self.requests.items() if self.now - r.deadline <= FORGET}
         due = self.now + (SWEEP if self.held or self.staged else SWEEP_IDLE)
-        if self.requests and (self.sweep_at <= self.now or due < self.sweep_at - SWEEP):
+        if (self.requests or self.board.later) and (self.sweep_at <= self.now or due < self.sweep_at - SWEEP):
             self.sweep_at = due
             self.acts.append(SetTimer(due - self.now, "sweep"))
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,7 +9,7 @@
 
 from claycross import interface as i
 from claycross.core import Core
-from claycross.decide.board import READ
+from claycross.decide.board import BAD, READ, decode
 from claycross.net.loop import Timer
 from claycross.policy import rank
 from tests.desk import MS, READERS, SECOND, WRITERS, Desk, Outcome, Release, entry, kinds, sends, settings
@@ -217,3 +217,57 @@
         others = sum(d.router.board.others(READ, e) for e in names)
         assert not peers or own + others == pytest.approx(sum(
             e.reading for x in desks for e in x.router.health.engines.values()), rel=0.1)
+
+
+@pytest.mark.parametrize("result", ["error", "reset"])
+def test_an_engine_that_fails_fast_is_met_by_few_of_forty_gateways(result):
+    """It looks the emptiest, so that each gateway in turn sent there until it had seen two failures."""
+    met = {}
+    for peers in (True, False):
+        desks, met[peers] = fleet(["r1", "r2", *WRITERS], peers=peers), 0
+        for n in range(3 * FLEET):
+            d, now = desks[n % FLEET], 100 * SECOND + n * 25 * MS
+            d.wait(now - d.now)
+            d.ask(n, cls="low", session=f"s{n}", prompt=800)
+            for a in sends(d.reply(n, "read")):
+                if a.engine == "w1":
+                    met[peers] += 1
+                    d.reply(n, result)
+                else:
+                    d.begin(n)
+                    d.reply(n, "ok", SECOND, ended=True)
+            together(desks, now)
+    assert met[True] <= 6 and met[False] >= 3 * met[True]
+
+
+def test_one_voice_or_slowness_puts_no_engine_out_for_others():
+    desks = fleet(["r1", "r2", *WRITERS], peers=True)
+    health = desks[0].router.health
+    health.bad(health.engines["w1"], desks[0].now)
+    for d in desks[1:3]:
+        health = d.router.health
+        health.eject(health.engines["w2"], d.now)  # as for a pace out of the ordinary
+    for d in desks[:3]:
+        d.do()
+    together(desks, 100 * SECOND)
+    for d in desks[3:]:
+        assert not any(e.ejected_until for e in d.router.health.engines.values())
+
+
+def test_nothing_to_tell_is_kept_where_gateways_may_not_speak():
+    d = Desk(nodes=FLEET)
+    before = len(d.router.board.queue)
+    for n in range(20):
+        if sends(d.ask(n)):
+            d.reply(n, "error")
+    assert len(d.router.board.queue) == before and not d.router.board.later and not d.router.board.mine
+
+
+@pytest.mark.parametrize(("started_at", "told"), [(99 * SECOND, False), (0, True)])
+def test_silence_is_told_of_warm_engines_only(started_at, told):
+    """Cold readers that were slow to answer were put out by the whole fleet, which then refused requests."""
+    d = Desk(engines=[entry("r1", started_at=started_at), *WRITERS], nodes=FLEET, peers=True, **COLD)
+    d.ask(1)
+    actions = d.reply(1, "timeout")
+    notes = [n for a in actions if isinstance(a, i.Tell) for n in decode(a.payload)]
+    assert any(kind == BAD for kind, *_ in notes) == told
