Upgrades serve the passed socket; an operators' door with check and drains

With that served, the second start failed once more in net/peers.py: the UDP bind of `peer_listen`, held by the first process. Then "not ready after 6 s": the platform asks `check` at the door that `$PROXY_ADMIN` names, and there was none. Ruled out: memory and descriptors (27 of 176 MB, 123 of 768), discovery (both processes had the list at 0.1 s).

Design: settings read `$PROXY_PASSED_SOCKET` (a descriptor number, checked to be a bound IPv4 TCP socket) and `admin`/`$PROXY_ADMIN`. The listener adopts the descriptor; a shared listener is closed at SIGTERM without accepting what waits in it, which stays for the process that takes over. The peers' socket sets SO_REUSEADDR/SO_REUSEPORT and, where the address is still held, binds again every 250 ms. The door (fronts/door.py) drives a line state machine (net/lines.py): one call a connection, bounded callers, the longest silent making way, 0.9 s for a line. Drain: /-/ready says no at once, every answer closes its connection, idle ones are closed after 0.4 s; new connections get their first request served. Rejected: binding with SO_REUSEPORT beside the platform's socket: a second queue of our own, whose waiting connections are reset when the old process closes it.

--- a/claycross/__main__.py
+++ b/claycross/__main__.py
@@ -19,6 +19,7 @@
 from .core import Core
 from .fronts.admin import AdminFront, Tenants
 from .fronts.base import Front
+from .fronts.door import Door
 from .fronts.embeddings import EmbeddingsFront
 from .fronts.platform import Platform
 from .interface import EngineList, Heard, Settings
@@ -26,6 +27,7 @@
 from .membership.discovery import Discovery
 from .membership.etcd import Etcd
 from .net.address import Address, Endpoint
+from .net.lines import fail, ok
 from .net.loop import MS, SECOND, Loop
 from .net.peers import Peers
 from .settings import (
@@ -39,6 +41,8 @@
 VERSION = "0.2.0"
 STILL_ACCEPTS = 500 * MS  # after SIGTERM: the front needs up to 0.4 s to notice
 HAND_BACK, HANDED_BACK = 2400 * MS, 3300 * MS  # after SIGTERM: streams still running go, bit by bit
+SHED_AFTER = 400 * MS  # after drain-on: the clients' front sends new connections for 0.3 s more
+UNHEARD = 2 * SECOND  # a start with a list from before says yes without discovery after so long
 STATS, CHECK = 10 * SECOND, (100 * MS if __debug__ else 10 * SECOND)
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
                   help="The gateway of the chat service.")
@@ -61,6 +65,7 @@
         self.config, self.loop, self.http2 = config, Loop(), http2
         self.reread: Callable[[], tuple[Config, Address]] | None = None  # the files anew, and whom to watch
         self.stopping, self.peers = False, None
+        self.began, self.heard_list, self.drained = self.loop.now(), False, False
         sockets = config.sockets - 48  # some are for the process itself, discovery and what is being accepted
         if embeddings:
             sockets -= embeddings.most_clients + embeddings.most_open + (admin.most_clients if admin else 0)
@@ -88,16 +93,58 @@
         for core in self.cores:
             self.loop.after_round.append(core.flush)
             core.flush()
-        self.fronts: list[Front] = [Platform(self.loop, self.core, config.listen, share)]
+        self.fronts: list[Front] = [Platform(self.loop, self.core, config.listen, share, passed=config.passed,
+                                             ready=self.ready)]
         if embeddings and admin:
             tenants = Tenants(admin.tenants, embeddings.settings.tenants)
             self.fronts.append(EmbeddingsFront(self.loop, self.cores[1], embeddings, tenants.named))
             self.fronts.append(AdminFront(self.loop, self.cores[1], admin, tenants, self.status))
         elif embeddings:
             self.fronts.append(EmbeddingsFront(self.loop, self.cores[1], embeddings))
+        self.door = Door(self.loop, config.door, self.door_calls(), self.log) if config.door else None
         self.loop.later(STATS, self.stats)
         self.loop.later(CHECK, self.check)
 
+    # ------------------------------------------------------------ the operators' door
+
+    def door_calls(self) -> dict[str, Callable[[str], bytes]]:
+        return {"check": self.call_check, "drain-on": self.drain_on, "drain-off": self.drain_off}
+
+    def serves(self) -> str:
+        """Why this process can't serve yet, or no longer; blank once it can."""
+        if self.stopping:
+            return "stopping"
+        if not self.heard_list and self.loop.now() - self.began < UNHEARD and not self.core.listed:
+            return "starting: discovery has not told the list yet"
+        return ""
+
+    def ready(self) -> bool:
+        """What the clients' front is told at /-/ready: no while drained or stopping."""
+        return not self.drained and not self.stopping
+
+    def call_check(self, _: str) -> bytes:
+        why = self.serves()
+        return fail(why) if why else ok("ready" + (" draining" if self.drained else ""))
+
+    def drain_on(self, _: str) -> bytes:
+        if self.stopping:
+            return fail("stopping: the process drains on its own")
+        if self.drained:
+            return ok("draining already")
+        self.drained = True
+        self.fronts[0].drain()
+        self.loop.later(SHED_AFTER, lambda: self.drained and self.fronts[0].shed())
+        return ok("draining")
+
+    def drain_off(self, _: str) -> bytes:
+        if self.stopping:
+            return fail("stopping: the process drains on its own")
+        if not self.drained:
+            return ok("not draining")
+        self.drained = False
+        self.fronts[0].undrain()
+        return ok("serving")
+
     def add_core(self, name: str, settings: Settings, connections: int) -> Core:
         core = Core(settings, self.config.seed, self.loop, self.log, name)
         pool = Pool(self.loop, connections, settings.idle_close // 2, self.config.dial_timeout)
@@ -114,6 +161,7 @@
         return core
 
     def told(self, found: EngineList, endpoints: dict[str, Endpoint]) -> None:
+        self.heard_list = self.heard_list or found.kind != "saved"
         for core, side in zip(self.cores, self.sides, strict=True):
             side.told(found, endpoints)
             core.list(EngineList(found.kind, [replace(entry) for entry in found.entries]))
@@ -185,6 +233,8 @@
             core.ends = self.loop.now() + HANDED_BACK
         for front in self.fronts:
             front.drain()
+            if front.listener.shared:  # what comes now waits in the socket for the process that takes over
+                front.listener.close()
             self.loop.later(STILL_ACCEPTS, front.close)
         self.loop.later(STILL_ACCEPTS, self.end)
         self.loop.later(HAND_BACK, lambda: self.hand_back(self.loop.now() + HANDED_BACK - HAND_BACK))
@@ -213,7 +263,10 @@
         host, port = self.fronts[0].listener.address()
         more = "".join(" {}={}:{}".format(name, *f.listener.address())
                        for name, f in zip(("embeddings", "admin"), self.fronts[1:], strict=False))
-        self.log(f"serving listen={host}:{port}{more} version={VERSION} debug={__debug__} "
+        if self.door:
+            more += " door={}:{}".format(*self.door.listener.address())
+        passed = "" if self.config.passed is None else f" passed={self.config.passed}"
+        self.log(f"serving listen={host}:{port}{passed}{more} version={VERSION} debug={__debug__} "
                  f"engines={len(self.core.listed)}")
         self.loop.run()
 
@@ -254,7 +307,8 @@
         complain(str(err))
     except OSError as err:
         where = " or ".join(f"{f.listen[0]}:{f.listen[1]}" for f in files[:3] if f)
-        complain(f"cannot listen on {where}: {err.strerror}")
+        given = "" if files[0].passed is None else f" (given descriptor {files[0].passed})"
+        complain(f"cannot listen on {where}{given}: {err.strerror}")
     for core in gateway.cores if trace else ():
         core.trace = gateway.log
 
--- a/claycross/fronts/base.py
+++ b/claycross/fronts/base.py
@@ -92,11 +92,13 @@
     background = False
     wording = staticmethod(plain)
 
-    def __init__(self, loop: Loop, core: Core, listen: tuple[str, int], limit: int):
+    def __init__(self, loop: Loop, core: Core, listen: tuple[str, int], limit: int,
+                 passed: int | None = None):
         self.loop, self.core, self.limit = loop, core, limit
-        self.draining = False
+        self.draining = False  # every answer says that its connection closes
+        self.shedding = False  # and a connection between two requests is closed
         self.clients: dict[Conn, tuple[int, int]] = {}  # what each is at, and since when; oldest first
-        self.listener = Listener(loop, listen, self.accepted, self.room)
+        self.listener = Listener(loop, listen, self.accepted, self.room, passed=passed)
 
     def room(self) -> bool:
         """Under the bound; at it, one that is of least use makes way. Guards the places of clients that ask
@@ -126,11 +128,24 @@
         """From now on every answer says that its connection closes; new connections are still taken."""
         self.draining = True
 
+    def shed(self) -> None:
+        """Draining, and those that wait between requests are closed; a new one is given its first request."""
+        self.draining = self.shedding = True
+        self.close_waiting((IDLING,))
+
+    def undrain(self) -> None:
+        """Connections are kept again between requests, as long as the listener takes new ones."""
+        if self.listener.open:
+            self.draining = self.shedding = False
+
     def close(self) -> None:
         """No further connections; those that wait between requests are closed."""
-        self.draining = True
+        self.draining = self.shedding = True
         self.listener.close()
-        for conn in [c for c, (at, _) in self.clients.items() if at in (IDLING, SILENT) and c.quiet()]:
+        self.close_waiting((IDLING, SILENT))
+
+    def close_waiting(self, states: tuple[int, ...]) -> None:
+        for conn in [c for c, (at, _) in self.clients.items() if at in states and c.quiet()]:
             conn.close()  # one on which a request has come is answered first
 
     def serve(self, conn: Conn) -> None:
@@ -152,7 +167,7 @@
                     self.turn_away(conn, bad, close)
                     if close:
                         break
-                if self.draining and not self.listener.open:
+                if self.shedding:
                     break
         except Malformed as err:
             self.core.count("malformed")
@@ -211,7 +226,7 @@
                 else:
                     return head, b"".join(body), came or self.loop.now()
             idle = head is None and messages.idle()
-            if idle and self.draining and not self.listener.open:
+            if idle and self.shedding and not (first and self.listener.open):
                 return None, b"", 0
             since = start if first or not came else came
             try:
--- /dev/null
+++ b/claycross/fronts/door.py
@@ -0,0 +1,91 @@
+"""The operators' door: one call a connection, answered at once from what the gateway holds.
+
+Owns the door's connections, their bound in number and time, and the words of its replies. It must never
+wait on the path of a request, decide what a call does to engines or drains (the gateway's parts do), or let
+callers that say nothing keep others out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import suppress
+
+from ..net.lines import Call, Lines, TooLong, fail
+from ..net.loop import MS, Closed, Conn, Interrupted, Listener, Loop, TimedOut
+
+MOST_CALLERS = 48  # connections at once; at the bound the longest silent one makes way
+WAIT = 900 * MS  # for a caller's line: one that says nothing in so long is closed
+SILENT_GRACE = 50 * MS  # a caller is given this before it may be made to make way
+SEND = 500 * MS  # for a reply to be taken
+
+Handler = Callable[[str], bytes]  # the argument of a call -> the whole reply
+
+
+class Door:
+    def __init__(self, loop: Loop, listen: tuple[str, int], calls: dict[str, Handler],
+                 log: Callable[[str], None]):
+        self.loop, self.calls, self.log = loop, calls, log
+        self.callers: dict[Conn, int] = {}  # since when; oldest first
+        self.counts = {"answered": 0, "failed": 0, "silent": 0, "made_way": 0}
+        self.listener = Listener(loop, listen, self.accepted, self.room, backlog=128)
+
+    def room(self) -> bool:
+        if len(self.callers) < MOST_CALLERS:
+            return True
+        now = self.loop.now()
+        for conn, since in self.callers.items():
+            if now - since >= SILENT_GRACE:
+                del self.callers[conn]
+                self.counts["made_way"] += 1
+                conn.close()
+                return True
+        return False
+
+    def accepted(self, conn: Conn) -> None:
+        self.callers[conn] = self.loop.now()
+        self.loop.spawn(self.serve, conn)
+
+    def serve(self, conn: Conn) -> None:
+        lines, until = Lines(), self.loop.now() + WAIT
+        try:
+            call = None
+            while call is None:
+                try:
+                    data = conn.recv(max(MS, until - self.loop.now()))
+                except TimedOut:
+                    self.counts["silent"] += 1
+                    return
+                except Interrupted:
+                    continue
+                call = lines.feed(data) if data else lines.end()
+                if not data and call is None:
+                    return
+            self.callers.pop(conn, None)  # answering it: no longer one that may be made to make way
+            reply = self.answer(call)
+            conn.send(reply, SEND)
+        except TooLong as err:
+            self.counts["failed"] += 1
+            with suppress(Closed):
+                conn.send(fail(str(err)), SEND)
+        except Closed:
+            pass
+        finally:
+            self.callers.pop(conn, None)
+            conn.close()
+
+    def answer(self, call: Call) -> bytes:
+        handler = self.calls.get(call.verb)
+        if handler is None:
+            self.counts["failed"] += 1
+            known = ", ".join(sorted(self.calls))
+            return fail(f"no call {call.verb[:32]!r}; the calls are {known}" if call.verb else
+                        f"an empty line; the calls are {known}")
+        reply = handler(call.argument)
+        self.counts["answered" if reply.startswith(b"ok") else "failed"] += 1
+        if call.verb not in ("check", "vars"):
+            said = reply.split(b"\n", 1)[0].decode()
+            self.log(f"door {call.verb} {call.argument[:64]} -> {said}")
+        return reply
+
+    def close(self) -> None:
+        self.listener.close()
--- a/claycross/fronts/platform.py
+++ b/claycross/fronts/platform.py
@@ -24,8 +24,8 @@
 class Platform(Front):
     """POST /v1/chat/completions, and the readiness that the platform asks for."""
 
-    def __init__(self, *args: Any, ready: Callable[[], bool] = lambda: True):
-        super().__init__(*args)
+    def __init__(self, *args: Any, ready: Callable[[], bool] = lambda: True, passed: int | None = None):
+        super().__init__(*args, passed=passed)
         self.ready = ready
 
     def take(self, conn: Conn, head: Head, body: bytes, came: int,
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -241,16 +241,32 @@
         return found
 
 
+def inherited(descriptor: int) -> socket.socket:
+    """A listening TCP socket over IPv4 that this process was given; OSError where it is anything else."""
+    sock = socket.socket(fileno=descriptor)
+    if sock.family != socket.AF_INET or sock.type != socket.SOCK_STREAM:
+        sock.detach()
+        raise OSError(errno.ENOTSOCK, f"descriptor {descriptor} is not a TCP socket over IPv4")
+    if sock.getsockname()[1] == 0:
+        sock.detach()
+        raise OSError(errno.EDESTADDRREQ, f"descriptor {descriptor} is bound to no address")
+    return sock
+
+
 class Listener:
     """Accepts while `room()` says so."""
 
     def __init__(self, loop: Loop, address: tuple[str, int], accepted: Callable[[Conn], None],
-                 room: Callable[[], bool], backlog: int = 256):
+                 room: Callable[[], bool], backlog: int = 256, passed: int | None = None):
         self.loop, self.accepted, self.room = loop, accepted, room
-        self.sock = socket.socket()
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.shared = passed is not None  # held by the platform too: what waits in it is not ours alone
+        if passed is None:
+            self.sock = socket.socket()
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.sock.bind(address)
+        else:
+            self.sock = inherited(passed)
         self.sock.setblocking(False)
-        self.sock.bind(address)
         self.sock.listen(backlog)
         self.open, self.paused = True, False
         loop.watch(self.sock.fileno(), select.POLLIN, self.ready)
@@ -284,7 +300,8 @@
 
     def close(self) -> None:
         if self.open:
-            self.ready(0)  # what the kernel has taken for us would be reset
+            if not self.shared:  # a shared socket keeps what waits in it for the process that takes over
+                self.ready(0)  # what the kernel has taken for us would be reset
             self.open = False
             if not self.paused:
                 self.loop.watch(self.sock.fileno(), 0, self.ready)
--- a/claycross/net/peers.py
+++ b/claycross/net/peers.py
@@ -6,14 +6,16 @@
 
 from __future__ import annotations
 
+import errno
 import select
 import socket
 from collections.abc import Callable
 
 from .address import Address
-from .loop import Loop
+from .loop import MS, Loop
 
 LARGEST = 256  # bytes: a longer datagram would void the service
+REBIND = 250 * MS  # between tries to bind an address that another process holds
 A_ROUND = 64  # datagrams taken in one round of the loop; more wait in the kernel, or are lost there
 
 
@@ -23,14 +25,31 @@
         self.everyone, self.me, self.heard = everyone, me, heard
         self.numbers = {address: n for n, address in enumerate(peers)}
         self.sent = self.taken = self.strange = self.lost = 0
+        self.loop, self.listen = loop, listen
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
-        self.sock.bind(listen)
-        loop.watch(self.sock.fileno(), select.POLLIN, self.ready)
+        # A process that takes over from another binds the same address while the other still runs.
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if hasattr(socket, "SO_REUSEPORT"):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        self.bound = False
+        self.bind()
+
+    def bind(self) -> None:
+        """Until it is bound what is told is lost; beside a process that holds the address it tries again."""
+        try:
+            self.sock.bind(self.listen)
+        except OSError as err:
+            if err.errno != errno.EADDRINUSE:
+                raise
+            self.loop.later(REBIND, self.bind)
+            return
+        self.bound = True
+        self.loop.watch(self.sock.fileno(), select.POLLIN, self.ready)
 
     def tell(self, payload: bytes) -> None:
         """To all other gateways, or lost."""
-        if len(payload) > LARGEST:
+        if len(payload) > LARGEST or not self.bound:
             self.lost += 1
             return
         try:
--- a/claycross/settings.py
+++ b/claycross/settings.py
@@ -78,6 +78,17 @@
     peer_listen: tuple[str, int] | None = None  # where the other gateways' messages come
     peers: tuple[tuple[str, int], ...] = ()  # of all gateways by their numbers, this one's included
     peers_all: tuple[str, int] | None = None  # reaches all of them
+    passed: int | None = None  # descriptor of the clients' listening socket, where the platform holds it
+    door: tuple[str, int] | None = None  # the operators' door, where the platform names one
+
+
+def read_descriptor(text: str) -> int | None:
+    """`$PROXY_PASSED_SOCKET`: the number of an inherited descriptor, or nothing where it is blank."""
+    if not text.strip():
+        return None
+    if not text.strip().isdigit() or not 0 <= int(text) < 65536:
+        raise BadSettings(f"PROXY_PASSED_SOCKET must name a descriptor by its number, not {text!r}")
+    return int(text)
 
 
 def read_address(text: Any, what: str) -> tuple[str, int]:
@@ -100,6 +111,7 @@
         raise BadSettings(f"configuration {path} must hold an object")
     try:
         seed, limits, settings = str(raw.get("seed", "0")), raw.get("limits") or {}, raw["settings"]
+        door = env.get("PROXY_ADMIN") or raw.get("admin")
         return Config(
             name=env.get("PROXY_NAME") or str(raw.get("name", "")),
             listen=read_address(env.get("PROXY_LISTEN") or raw["listen"], "listen"),
@@ -109,7 +121,9 @@
             dial_timeout=int(settings["permissions"].get("dial-timeout", 250_000_000)),
             peer_listen=read_address(raw["peer_listen"], "peer_listen") if raw.get("peer_listen") else None,
             peers=tuple(read_address(p, "peers") for p in raw.get("peers") or ()),
-            peers_all=read_address(raw["peers_all"], "peers_all") if raw.get("peers_all") else None)
+            peers_all=read_address(raw["peers_all"], "peers_all") if raw.get("peers_all") else None,
+            passed=read_descriptor(env.get("PROXY_PASSED_SOCKET", "")),
+            door=read_address(door, "admin") if door else None)
     except KeyError as err:
         raise BadSettings(f"configuration {path}: {err} is missing") from None
     except (TypeError, ValueError, AttributeError, OverflowError) as err:
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -34,6 +34,8 @@
           b'data: {"choices":[],"usage":{"prompt_tokens_details":{"cached_tokens":7}}}\n\n',
           b"data: [DONE]\n\n"]
 NEVER = "X-Not-Processed: 1"
+# Makes the descriptor it is given the third, then becomes the gateway: what the platform does on upgrades.
+HAND_OVER = "import os, sys; os.dup2(int(sys.argv[1]), 3); os.execv(sys.argv[2], sys.argv[2:])"
 
 
 def eventually(condition, within=8.0):
@@ -329,6 +331,9 @@
     family: dict = field(default_factory=dict)  # changes to `family-info`
     sockets: int = 512
     more: dict = field(default_factory=dict)  # of the configuration
+    door: bool = False  # the operators' door, on a free port
+    passed: socket.socket | None = None  # the clients' listening socket, handed over as descriptor 3
+    tmp: pathlib.Path | None = None  # $TMPDIR, where it is to be shared with another process
 
     def __enter__(self):
         self.discovery = Discovery().start()
@@ -345,7 +350,8 @@
             "conn-idle": 4 * 10**9, "dial-timeout": 5 * 10**9, "retry-after": True, "max-retry-after": 10**9,
             "may-cancel": True, "send-cap": 5, **self.settings}
         known = list(self.discovery.targets.values())
-        config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "1f",
+        listen = "127.0.0.1:0" if self.passed is None else "{}:{}".format(*self.passed.getsockname())
+        config = {"name": "n0", "listen": listen, "discovery": self.discovery.address, "seed": "1f",
                   "limits": {"sockets": self.sockets}, "known": {"rev": 1, "all": True, "targets": known},
                   "settings": settings, **self.more}
         self.reconfigure(config)
@@ -372,17 +378,43 @@
             text = (ROOT / "deploy" / "etcd.toml").read_text()
             (self.folder / "etcd.toml").write_text(text.replace("127.0.0.1:2379", self.etcd.address))
             command += ["--etcd", str(self.folder / "etcd.toml")]
-        self.log_path = self.folder / "log"
+        self.command = command
+        self.start()
+        eventually(lambda: self.etcd or self.discovery.watches)
+        return self
+
+    def start(self, log_name="log"):
+        """The gateway's process; again, beside the first, where the clients' socket is handed over."""
+        self.log_path = self.folder / log_name
         with self.log_path.open("w") as log:
             env = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
             env["PROXY_DISCOVERY"] = self.discovery.address  # as the platform does; a reload must see past it
-            self.process = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log, env=env)
+            if self.door:
+                env["PROXY_ADMIN"] = "127.0.0.1:0"
+            if self.tmp:
+                env["TMPDIR"] = str(self.tmp)
+            command, handed = self.command, {}
+            if self.passed is not None:  # as the platform hands it over: descriptor 3, named so
+                env["PROXY_PASSED_SOCKET"] = "3"
+                mine = self.passed.fileno()
+                command = [sys.executable, "-c", HAND_OVER, str(mine), *command]
+                handed = {"pass_fds": (mine,)}
+            self.process = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log, env=env, **handed)
         line = eventually(lambda: re.search(r"serving listen=(\S+).*", self.log()))
         addresses = dict(re.findall(r"(\w+)=(\S+)", line[0]))
         self.address, self.embeddings_address = addresses["listen"], addresses.get("embeddings")
-        self.admin_address = addresses.get("admin")
-        eventually(lambda: self.etcd or self.discovery.watches)
-        return self
+        self.admin_address, self.door_address = addresses.get("admin"), addresses.get("door")
+        return self.process
+
+    def call(self, line, within=5.0):
+        """One call at the operators' door, and its whole reply."""
+        host, port = self.door_address.split(":")
+        with socket.create_connection((host, int(port)), timeout=within) as sock:
+            sock.sendall(line.encode() + b"\n")
+            reply = b""
+            while data := sock.recv(65536):
+                reply += data
+        return reply.decode()
 
     def __exit__(self, kind, *_):
         if self.process.poll() is None:
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,115 @@
+"""What operators meet: the door, drains, and a second process that takes over the clients' socket."""
+
+import signal
+import socket
+import time
+
+import pytest
+
+from claycross.net.lines import Call, Lines, TooLong
+from standins.servers import Client, Engine, eventually
+
+
+def ready(s):
+    with Client(s.address) as c:
+        return c.send("GET", "/-/ready").answer().status
+
+
+@pytest.mark.parametrize(("pieces", "call"), [
+    ([b"check\n"], Call("check", "")),
+    ([b"set-down", b" s-1\r", b"\n"], Call("set-down", "s-1")),
+    ([b"DRAIN-ON  \n", b"more"], Call("drain-on", "")),
+    ([b"c", b"h", b"e", b"c", b"k", b"\n"], Call("check", "")),
+])
+def test_a_call_is_whole_at_its_end_of_line_however_it_is_cut(pieces, call):
+    lines, got = Lines(), None
+    for piece in pieces:
+        got = got or lines.feed(piece)
+    assert got == call
+
+
+@pytest.mark.parametrize("cut", [1, 7, 511, 600])
+def test_a_call_over_the_bound_is_turned_away_whatever_its_pieces(cut):
+    lines, data = Lines(), b"x" * 2000
+    with pytest.raises(TooLong):
+        for start in range(0, len(data), cut):
+            lines.feed(data[start:start + cut])
+
+
+def test_a_line_without_its_end_counts_when_the_caller_ends_sending():
+    lines = Lines()
+    assert lines.feed(b"vars") is None
+    assert lines.end() == Call("vars", "")
+
+
+@pytest.mark.parametrize(("line", "first"), [
+    ("check", "ok ready"),
+    ("", "fail an empty line"),
+    ("reboot-everything", "fail no call 'reboot-everything'"),
+    ("drain-off", "ok not draining"),
+    ("x" * 5000, "fail a call is at most"),
+])
+def test_the_door_answers_each_call_with_one_clear_line(site, line, first):
+    s = site(Engine("p"), Engine("d"), door=True)
+    reply = s.call(line)
+    assert reply.startswith(first) and reply.endswith("\n") and reply.count("\n") == 1, reply
+
+
+def test_the_door_answers_in_time_while_many_callers_say_nothing(site):
+    s = site(Engine("p"), Engine("d"), door=True)
+    host, port = s.door_address.split(":")
+    silent = [socket.create_connection((host, int(port))) for _ in range(200)]
+    try:
+        for _ in range(5):
+            begun = time.monotonic()
+            assert s.call("check", within=2).startswith("ok")
+            assert time.monotonic() - begun < 1.0
+    finally:
+        for sock in silent:
+            sock.close()
+
+
+def test_a_drain_says_no_at_once_closes_idle_connections_and_ends_on_call(site):
+    s = site(Engine("p"), Engine("d"), door=True)
+    assert ready(s) == 200
+    idle = Client(s.address)
+    assert idle.send("GET", "/-/ready").answer().status == 200  # now it waits between requests
+    assert s.call("drain-on").startswith("ok draining")
+    assert s.call("drain-on").startswith("ok draining already")
+    assert ready(s) == 503
+    assert s.call("check").startswith("ok ready draining")  # the process can serve; the front is told no
+    assert eventually(lambda: idle.sock.recv(1) == b"", within=3)  # closed by the gateway, not left idle
+    with Client(s.address) as c:  # a new connection is still served, and told that it closes
+        answer = c.send("POST", "/v1/chat/completions", b"{}", X_Request_ID="d1", X_Priority_Class="browse",
+                        X_Route_Key="s", X_Attrs="prompt_len=8,prefix_len=0,max_out=5").answer()
+        assert answer.status == 200 and answer.headers.get("connection") == "close"
+    assert s.call("drain-off").startswith("ok serving")
+    assert ready(s) == 200
+    with Client(s.address) as c:  # connections are kept again
+        c.send("GET", "/-/ready").answer()
+        assert c.send("GET", "/-/ready").answer().status == 200
+
+
+def test_a_second_process_takes_over_the_passed_socket_and_the_first_leaves(site, tmp_path):
+    held = socket.socket()
+    held.bind(("127.0.0.1", 0))
+    held.listen(64)
+    udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    udp.bind(("127.0.0.1", 0))
+    peer = f"127.0.0.1:{udp.getsockname()[1]}"
+    udp.close()  # both processes bind this one address for the other gateways' messages
+    s = site(Engine("p"), Engine("d"), door=True, passed=held, tmp=tmp_path, settings={"peers": True},
+             more={"peer_listen": peer, "peers": [peer, "127.0.0.1:9"], "peers_all": "127.0.0.1:9"})
+    old = s.process
+    assert s.chat().status == 200
+    eventually(lambda: s.call("check").startswith("ok"))
+    new = s.start("log.new")  # the address is taken by the socket this test holds: only descriptor 3 serves
+    eventually(lambda: s.call("check").startswith("ok"))
+    old.send_signal(signal.SIGTERM)
+    answers = [s.chat().status for _ in range(20)]
+    assert old.wait(5) == 0 and new.poll() is None
+    answers += [s.chat().status for _ in range(20)]
+    assert answers == [200] * 40
+    new.send_signal(signal.SIGTERM)
+    assert new.wait(5) == 0
+    held.close()
