Bans by hand, figures at the door, and state handed to the next process

Bans (decide/bans.py, pure): a banned engine's entry is passed on as draining, the same for the module and the core, which already hold drains at the first byte of every attempt; an engine that goes and comes back cold under a ban comes back draining; set-up sends its entry as discovery told it last. Ids ever listed are remembered, capped at 16,384; an id never listed gets `fail`.

Bans and the gateway's own ejections counted apart, both in gateway_targets_disabled. Rejected: writing the text format by hand.

Each process looks every 200 ms, so a call at either door during an upgrade counts at both. Rejected: handing state over on a socket between the two: the old process may already be gone.

--- a/claycross/__main__.py
+++ b/claycross/__main__.py
@@ -17,17 +17,20 @@
 import typer
 
 from .core import Core
+from .decide.bans import Bans, Verdict
+from .decide.handover import Kept, due, newer, next_state
 from .fronts.admin import AdminFront, Tenants
 from .fronts.base import Front
 from .fronts.door import Door
 from .fronts.embeddings import EmbeddingsFront
 from .fronts.platform import Platform
+from .handover import Handover
 from .interface import EngineList, Heard, Settings
 from .invariant import broken, say, unwritten
 from .membership.discovery import Discovery
 from .membership.etcd import Etcd
 from .net.address import Address, Endpoint
-from .net.lines import fail, ok
+from .net.lines import block, fail, ok
 from .net.loop import MS, SECOND, Loop
 from .net.peers import Peers
 from .settings import (
@@ -36,12 +39,14 @@
 from .upstream.http1 import Pool
 
 if TYPE_CHECKING:
+    from .fronts.figures import Figures, Reading
     from .options import Http2 as Http2Options
 
 VERSION = "0.2.0"
 STILL_ACCEPTS = 500 * MS  # after SIGTERM: the front needs up to 0.4 s to notice
 HAND_BACK, HANDED_BACK = 2400 * MS, 3300 * MS  # after SIGTERM: streams still running go, bit by bit
 SHED_AFTER = 400 * MS  # after drain-on: the clients' front sends new connections for 0.3 s more
+FOLLOW = 200 * MS  # between looks at the state that another process of this gateway may have written
 UNHEARD = 2 * SECOND  # a start with a list from before says yes without discovery after so long
 STATS, CHECK = 10 * SECOND, (100 * MS if __debug__ else 10 * SECOND)
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
@@ -66,6 +71,10 @@
         self.reread: Callable[[], tuple[Config, Address]] | None = None  # the files anew, and whom to watch
         self.stopping, self.peers = False, None
         self.began, self.heard_list, self.drained = self.loop.now(), False, False
+        self.bans = Bans()
+        self.exposition: Figures | None = None
+        self.handover, self.kept = Handover(config.state_folder, config.name, self.log), Kept()
+        self.take_over()
         sockets = config.sockets - 48  # some are for the process itself, discovery and what is being accepted
         if embeddings:
             sockets -= embeddings.most_clients + embeddings.most_open + (admin.most_clients if admin else 0)
@@ -102,13 +111,60 @@
         elif embeddings:
             self.fronts.append(EmbeddingsFront(self.loop, self.cores[1], embeddings))
         self.door = Door(self.loop, config.door, self.door_calls(), self.log) if config.door else None
+        if self.drained:
+            self.drain(True)
+        self.loop.later(FOLLOW, self.follow)
         self.loop.later(STATS, self.stats)
         self.loop.later(CHECK, self.check)
 
     # ------------------------------------------------------------ the operators' door
 
     def door_calls(self) -> dict[str, Callable[[str], bytes]]:
-        return {"check": self.call_check, "drain-on": self.drain_on, "drain-off": self.drain_off}
+        return {"check": self.call_check, "drain-on": self.drain_on, "drain-off": self.drain_off,
+                "set-down": self.set_down, "set-up": self.set_up, "vars": self.figures}
+
+    def figures(self, _: str) -> bytes:
+        if self.exposition is None:
+            from .fronts.figures import Figures  # not before it is asked for: the library costs the start
+
+            self.exposition = Figures(self.reading)
+        return block(True, self.exposition.lines())
+
+    def reading(self) -> Reading:
+        from .fronts.figures import Reading
+
+        listed, banned = self.core.listed, set(self.bans.out())
+        avoided = set(self.core.excluded()) & listed.keys()
+        replies: dict[tuple[str, str], int] = {}
+        for core in self.cores:
+            for key, count in core.replies.items():
+                replies[key] = replies.get(key, 0) + count
+        door = self.door.counts if self.door else {}
+        return Reading(replies, sum(c.dispatches for c in self.cores), sum(c.taken() for c in self.cores),
+                       len(listed), len(banned & listed.keys()), len(avoided - banned),
+                       sum(e.condition == "draining" and e.engine not in banned for e in listed.values()),
+                       self.began / SECOND, {f"door_{k}": v for k, v in door.items()})
+
+    def set_down(self, engine: str) -> bytes:
+        return self.banned(self.bans.down(engine, self.loop.now()) if engine else None)
+
+    def set_up(self, engine: str) -> bytes:
+        return self.banned(self.bans.up(engine) if engine else None)
+
+    def banned(self, verdict: Verdict | None) -> bytes:
+        if verdict is None:
+            return fail("name the engine by its id")
+        if verdict.news:
+            self.apply([verdict.news])
+        if verdict.good and self.bans.state() != self.kept.bans:
+            self.keep()
+        return ok(verdict.text) if verdict.good else fail(verdict.text)
+
+    def apply(self, news: list[EngineList]) -> None:
+        for found in news:
+            for core, side in zip(self.cores, self.sides, strict=True):
+                side.told(found, {})
+                core.list(EngineList("changes", [replace(entry) for entry in found.entries]))
 
     def serves(self) -> str:
         """Why this process can't serve yet, or no longer; blank once it can."""
@@ -127,23 +183,63 @@
         return fail(why) if why else ok("ready" + (" draining" if self.drained else ""))
 
     def drain_on(self, _: str) -> bytes:
-        if self.stopping:
-            return fail("stopping: the process drains on its own")
         if self.drained:
             return ok("draining already")
-        self.drained = True
-        self.fronts[0].drain()
-        self.loop.later(SHED_AFTER, lambda: self.drained and self.fronts[0].shed())
+        self.drain(True)
+        self.keep()
         return ok("draining")
 
     def drain_off(self, _: str) -> bytes:
-        if self.stopping:
-            return fail("stopping: the process drains on its own")
         if not self.drained:
             return ok("not draining")
-        self.drained = False
-        self.fronts[0].undrain()
-        return ok("serving")
+        self.drain(False)
+        self.keep()
+        return ok("serving" if not self.stopping else "not draining; the process stops all the same")
+
+    def drain(self, on: bool) -> None:
+        """The operators' drain of the whole gateway; a process that stops drains anyway, and hands it on."""
+        self.drained = on
+        if self.stopping:
+            return
+        if on:
+            self.fronts[0].drain()
+            self.loop.later(SHED_AFTER, lambda: self.drained and not self.stopping and self.fronts[0].shed())
+        else:
+            self.fronts[0].undrain()
+
+    # ------------------------------------------------------------ what outlives the process
+
+    def take_over(self) -> None:
+        """The state that an earlier process of this gateway left, before the first list comes."""
+        self.handover.sweep()
+        if found := self.handover.load(self.loop.now()):
+            self.kept = found
+            self.bans.adopt(found.bans)
+            self.drained = found.drained
+            self.log(f"handover-taken sequence={found.sequence} writer={found.writer} bans={len(found.bans)} "
+                     f"drained={found.drained} age_ms={(self.loop.now() - found.written) // MS}")
+
+    def keep(self) -> None:
+        """After a change by the operators: written for the next process, and for one that runs beside."""
+        self.kept = next_state(self.kept, self.bans.state(), self.drained, self.loop.now(), os.getpid())
+        self.handover.save(self.kept)
+
+    def follow(self) -> None:
+        """A change that another process of this gateway made and wrote counts here too; what this one
+        holds is written again now and then, so that it stays recent."""
+        now = self.loop.now()
+        found = self.handover.load(now) if self.handover.changed() else None
+        if found and newer(found, self.kept.sequence):
+            self.log(f"handover-followed sequence={found.sequence} writer={found.writer} "
+                     f"bans={len(found.bans)} drained={found.drained}")
+            self.kept = found
+            self.apply(self.bans.adopt(found.bans))
+            if found.drained != self.drained:
+                self.drain(found.drained)
+        elif self.kept.sequence and due(self.kept, now):
+            self.kept = replace(self.kept, written=now, writer=os.getpid())
+            self.handover.save(self.kept)
+        self.loop.later(FOLLOW, self.follow)
 
     def add_core(self, name: str, settings: Settings, connections: int) -> Core:
         core = Core(settings, self.config.seed, self.loop, self.log, name)
@@ -162,6 +258,7 @@
 
     def told(self, found: EngineList, endpoints: dict[str, Endpoint]) -> None:
         self.heard_list = self.heard_list or found.kind != "saved"
+        found = self.bans.view(found)
         for core, side in zip(self.cores, self.sides, strict=True):
             side.told(found, endpoints)
             core.list(EngineList(found.kind, [replace(entry) for entry in found.entries]))
--- a/claycross/core.py
+++ b/claycross/core.py
@@ -23,6 +23,9 @@
 ROUNDS = 50  # of events that follow from actions, within one moment
 
 CERTAIN = ("connect_failed", "full", "moot", "stateless")  # outcomes that leave nothing held there
+# How a request ended, in the words of the figures: served, refused, failed. One whose client left: nowhere.
+REPLIES = {"served": "success", "refused": "overload", "failed": "error", "overdue": "error",
+           "rejected": "error", "broken": "error", "turned-away": "error"}
 
 
 class Clock(Protocol):
@@ -91,6 +94,8 @@
         self.ends = 0  # when this gateway will be gone, once that is known
         self.leases = 0  # calls to let go that are under way
         self.counts: dict[str, int] = {}
+        self.replies: dict[tuple[str, str], int] = {}  # (class, status) -> requests, since the start
+        self.dispatches = 0  # attempts written whole to engines, since the start
         self.trace: Callable[[str], None] | None = None  # a line for each end of an attempt or request
         self.actions: dict[type, Callable[[Any], None]] = {
             i.Send: self.send, i.Release: self.let_go, i.Cancel: self.cancel, i.Refuse: self.refuse,
@@ -107,6 +112,8 @@
     def ended(self, r: Open, how: str) -> None:
         """Counts the end of a request, and traces it: its class, and how long it was here."""
         self.count(how)
+        if status := REPLIES.get(how):
+            self.replies[r.name, status] = self.replies.get((r.name, status), 0) + 1
         if self.trace:
             self.trace(f"ended request={r.key} how={how} class={r.name} prompt={r.prompt} "
                        f"tries={len(r.tries)} ms={(self.clock.now() - r.came) / MS:.1f} "
@@ -164,6 +171,18 @@
         r.guard = self.clock.later(arrival.left + SPARE, lambda: self.overdue(r))
         return r
 
+    def turned_away(self, name: str) -> None:
+        """A request of a class of this service that the front answered as failed, before it came here."""
+        if name in self.settings.classes:
+            self.replies[name, "error"] = self.replies.get((name, "error"), 0) + 1
+
+    def dispatched(self, t: Try) -> None:
+        self.dispatches += 1
+
+    def taken(self) -> int:
+        """Requests taken and not yet answered."""
+        return sum(not r.over for r in self.open.values())
+
     def under_way(self, key: str) -> bool:
         return key in self.keys
 
--- /dev/null
+++ b/claycross/decide/bans.py
@@ -0,0 +1,114 @@
+"""Engines taken out of service by hand, and the list of engines as the rest of the gateway is to see it.
+
+Owns the operators' bans and the memory of which engines were ever listed. It must never let a banned
+engine look ready to the module or the core, whatever discovery says of it later, nor lift a ban but on the
+call back; and it must never grow without bound: the ids it remembers are capped, the oldest forgotten first.
+
+A ban turns the engine's entry into a draining one: what it has runs to its end, nothing new is sent, which is
+what a drain told by discovery means and what the core checks at the first byte of every attempt. The list is
+passed on otherwise unchanged; an engine that goes and comes back under a ban comes back draining.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, replace
+
+from ..interface import EngineEntry, EngineList
+
+MOST_REMEMBERED = 16_384  # ids of engines ever listed; an operator's call for one forgotten is refused
+MOST_BANNED = 1_024  # at once: more would be a fleet taken out by hand, which is a drain of the gateway
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a call did: whether it is owed an ok, its words, and news of the list for the gateway's parts."""
+
+    good: bool
+    text: str
+    news: EngineList | None = None
+
+
+class Bans:
+    def __init__(self, remembered: int = MOST_REMEMBERED, most: int = MOST_BANNED):
+        self.remembered, self.most = remembered, most
+        self.banned: dict[str, int] = {}  # engine -> since when (the caller's clock, in ns)
+        self.told: dict[str, EngineEntry] = {}  # the entry that discovery told last, of engines listed now
+        self.ever: OrderedDict[str, None] = OrderedDict()  # engines ever listed, the last told at the end
+
+    # ------------------------------------------------------------ the list
+
+    def view(self, found: EngineList) -> EngineList:
+        """The list as told, with every banned engine that it names draining."""
+        if found.kind == "failed":
+            return found
+        if found.kind != "changes":
+            self.told = {}
+        for entry in found.entries:
+            self.remember(entry.engine)
+            if entry.condition == "gone":
+                self.told.pop(entry.engine, None)
+            else:
+                self.told[entry.engine] = entry
+        return EngineList(found.kind, [self.seen(entry) for entry in found.entries])
+
+    def seen(self, entry: EngineEntry) -> EngineEntry:
+        if entry.engine in self.banned and entry.condition == "ready":
+            return replace(entry, condition="draining")
+        return replace(entry)
+
+    def remember(self, engine: str) -> None:
+        self.ever[engine] = None
+        self.ever.move_to_end(engine)
+        while len(self.ever) > self.remembered:  # what holds now is never forgotten
+            oldest = next((e for e in self.ever if e not in self.banned and e not in self.told), None)
+            if oldest is None:
+                break
+            del self.ever[oldest]
+
+    # ------------------------------------------------------------ the operators' calls
+
+    def down(self, engine: str, now: int) -> Verdict:
+        if engine in self.banned:
+            return Verdict(True, f"{engine} is out already")
+        if engine not in self.ever:
+            return Verdict(False, f"{engine} was never listed")
+        if len(self.banned) >= self.most:
+            return Verdict(False, f"{self.most} engines are out already; drain the gateway instead")
+        self.banned[engine] = now
+        entry = self.told.get(engine)
+        news = EngineList("changes", [self.seen(entry)]) if entry else None
+        return Verdict(True, f"{engine} is out", news)
+
+    def up(self, engine: str) -> Verdict:
+        if engine not in self.banned:
+            if engine not in self.ever:
+                return Verdict(False, f"{engine} was never listed")
+            return Verdict(True, f"{engine} is in already")
+        del self.banned[engine]
+        entry = self.told.get(engine)
+        news = EngineList("changes", [replace(entry)]) if entry else None
+        return Verdict(True, f"{engine} is back", news)
+
+    def out(self) -> list[str]:
+        """Banned engines that the list names now."""
+        return sorted(self.banned.keys() & self.told.keys())
+
+    # ------------------------------------------------------------ what outlives the process
+
+    def state(self) -> dict[str, int]:
+        return dict(self.banned)
+
+    def adopt(self, banned: dict[str, int]) -> list[EngineList]:
+        """The bans of a newer state, as another process of this gateway wrote it, in place of these; news of
+        the list for each engine whose ban came or went."""
+        news = []
+        kept = dict(sorted(banned.items())[: self.most])
+        for engine in sorted(self.banned.keys() - kept.keys()):
+            if (verdict := self.up(engine)).news:
+                news.append(verdict.news)
+        for engine, since in kept.items():
+            self.remember(engine)
+            if engine not in self.banned and (verdict := self.down(engine, since)).news:
+                news.append(verdict.news)
+        return news
--- a/claycross/fronts/base.py
+++ b/claycross/fronts/base.py
@@ -158,6 +158,7 @@
                     errors = 0
                 except Bad as bad:
                     self.core.count("malformed")
+                    self.core.turned_away(messages.head.get("x-priority-class") if messages.head else "")
                     # Guards the loop's turns against a client that sends the same again as soon as it hears.
                     if errors and bad.status != 429:
                         self.mark(conn, TURNED_AWAY)
--- a/claycross/settings.py
+++ b/claycross/settings.py
@@ -80,6 +80,7 @@
     peers_all: tuple[str, int] | None = None  # reaches all of them
     passed: int | None = None  # descriptor of the clients' listening socket, where the platform holds it
     door: tuple[str, int] | None = None  # the operators' door, where the platform names one
+    state_folder: str = "/tmp"  # `$TMPDIR`: where what outlives the process is handed to the next one
 
 
 def read_descriptor(text: str) -> int | None:
@@ -123,7 +124,8 @@
             peers=tuple(read_address(p, "peers") for p in raw.get("peers") or ()),
             peers_all=read_address(raw["peers_all"], "peers_all") if raw.get("peers_all") else None,
             passed=read_descriptor(env.get("PROXY_PASSED_SOCKET", "")),
-            door=read_address(door, "admin") if door else None)
+            door=read_address(door, "admin") if door else None,
+            state_folder=env.get("TMPDIR") or "/tmp")
     except KeyError as err:
         raise BadSettings(f"configuration {path}: {err} is missing") from None
     except (TypeError, ValueError, AttributeError, OverflowError) as err:
--- a/claycross/upstream/answers.py
+++ b/claycross/upstream/answers.py
@@ -31,6 +31,13 @@
         self.out: Outgoing = t.request.payload
         self.status, self.headers = 0, {}
         self.body, self.usage, self.events = b"", b"", Events()
+        self.sent = False
+
+    def written(self) -> None:
+        """The whole request is out on the wire: an attempt that counts."""
+        if not self.sent:
+            self.sent = True
+            self.core.dispatched(self.t)
 
     def head(self, status: int, headers: dict[str, str]) -> None:
         """`headers`: names in lower case."""
--- a/claycross/upstream/http1.py
+++ b/claycross/upstream/http1.py
@@ -135,6 +135,7 @@
         except Closed:
             self.pool.drop(conn)
             return NEVER_WENT
+        answer.written()
         messages = Messages(responses=True, max_body=out.largest, max_chunk=max(MAX_BODY, min(
             out.largest, LARGEST_CHUNK)))
         try:
--- a/claycross/upstream/http2.py
+++ b/claycross/upstream/http2.py
@@ -429,6 +429,7 @@
                 case None:
                     raise Malformed(502, "the stream stands still")
                 case wire.Answered(_, status, headers):
+                    answer.written()  # not before: whether the last of its body went out, the answer tells
                     answer.head(status, headers)
                 case wire.Data(_, data, counted):
                     if data:
@@ -439,10 +440,11 @@
                 case wire.Ended():
                     return answer.end(trailers)
                 case Over(_, fate, why):
-                    return self.ended(fate, why)
+                    return self.ended(fate, why, answer)
 
-    def ended(self, fate: Fate, why: str) -> Result:
+    def ended(self, fate: Fate, why: str, answer: Answer) -> Result:
         if fate is not Fate.NEVER:
+            answer.written()
             return CUT_OFF
         if why == "not spoken":
             raise NotSpoken
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,167 @@
+"""The state that outlives a process: trusted when whole, recent and this gateway's; refused otherwise."""
+
+import contextlib
+import os
+import signal
+import socket
+import time
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from claycross.decide.handover import FORMAT, OLDEST, Kept, Refused, body, judge, newer
+from claycross.handover import Handover, unwrap, wrap
+from standins.servers import Client, Engine, eventually
+
+NOW = 1_800_000_000 * 10**9
+GOOD = Kept(7, NOW - 10**9, {"s-1": NOW - 5 * 10**9}, True, 4242)
+
+
+def test_a_whole_state_comes_back_as_it_was_written(tmp_path):
+    logged = []
+    keeper = Handover(str(tmp_path), "n0", logged.append)
+    assert keeper.save(GOOD)
+    assert keeper.load(NOW) == GOOD and not logged
+    assert not keeper.changed()
+    Handover(str(tmp_path), "n0", logged.append).save(Kept(8, NOW, {}, False, 1))
+    assert keeper.changed() and newer(keeper.load(NOW), GOOD.sequence)
+
+
+@pytest.mark.parametrize(("change", "why"), [
+    (lambda f: f | {"format": FORMAT + 1}, "format"),
+    (lambda f: f | {"gateway": "n9"}, "written by gateway 'n9'"),
+    (lambda f: f | {"written": NOW - OLDEST - 1}, "ago"),
+    (lambda f: f | {"written": NOW + 60 * 10**9}, "future"),
+    (lambda f: f | {"sequence": "7"}, "whole number"),
+    (lambda f: f | {"bans": {"": 1}}, "names no engine"),
+    (lambda f: f | {"bans": {f"s-{n}": 1 for n in range(2000)}}, "over"),
+    (lambda f: f | {"drained": "yes"}, "wrong kind"),
+    (lambda f: [f], "not an object"),
+])
+def test_a_state_that_is_old_foreign_or_garbage_is_refused_with_its_reason(change, why):
+    with pytest.raises(Refused, match=why):
+        judge(change(body(GOOD, "n0")), "n0", NOW)
+
+
+@pytest.mark.parametrize(("spoil", "why"), [
+    (lambda data: data[: len(data) // 2], "torn"),
+    (lambda data: data.replace(b"s-1", b"s-2"), "check sum"),
+    (lambda data: b"\x00\xff" * 40, "torn"),
+    (lambda data: b"", "torn"),
+    (lambda data: b'{"sha256": 5, "body": []}', "torn"),
+])
+def test_a_file_cut_short_or_changed_is_refused_and_logged(tmp_path, spoil, why):
+    logged = []
+    keeper = Handover(str(tmp_path), "n0", logged.append)
+    keeper.save(GOOD)
+    with open(keeper.path, "rb") as file:
+        data = file.read()
+    with open(keeper.path, "wb") as file:
+        file.write(spoil(data))
+    assert keeper.load(NOW) is None
+    assert len(logged) == 1 and "handover-refused" in logged[0] and why in logged[0]
+
+
+@given(st.binary(max_size=400))
+def test_whatever_bytes_are_read_back_they_are_judged_or_refused_never_more(data):
+    with contextlib.suppress(Refused):
+        judge(unwrap(data), "n0", NOW)
+
+
+@given(st.dictionaries(st.text(min_size=1, max_size=20), st.integers(0, 2**62), max_size=20), st.booleans(),
+       st.integers(0, 2**40))
+def test_what_is_written_is_what_is_read(bans, drained, sequence):
+    kept = Kept(sequence, NOW, bans, drained, 1)
+    assert judge(unwrap(wrap(body(kept, "n0"))), "n0", NOW) == kept
+
+
+def test_what_a_killed_writer_left_behind_is_swept_and_the_last_whole_state_stands(tmp_path):
+    keeper = Handover(str(tmp_path), "n0", print)
+    keeper.save(GOOD)
+    left = f"{keeper.path}.99999.new"
+    with open(left, "wb") as file:
+        file.write(wrap(body(Kept(9, NOW, {}, False, 99999), "n0"))[:30])  # killed in the middle of it
+    keeper.sweep()
+    assert not os.path.exists(left) and keeper.load(NOW) == GOOD
+
+
+def test_a_folder_that_cant_be_written_leaves_the_state_to_the_process(tmp_path):
+    logged = []
+    keeper = Handover(str(tmp_path / "missing"), "n0", logged.append)
+    assert not keeper.save(GOOD) and not keeper.save(GOOD)
+    assert len(logged) == 1 and "handover-unwritten" in logged[0]
+
+
+def passed_site(site, tmp_path, *engines):
+    held = socket.socket()
+    held.bind(("127.0.0.1", 0))
+    held.listen(64)
+    return site(*engines, door=True, passed=held, tmp=tmp_path / "tmp"), held
+
+
+def test_a_ban_holds_over_an_upgrade_and_the_new_process_lifts_it(site, tmp_path):
+    (tmp_path / "tmp").mkdir()
+    reader, one, other = Engine("p"), Engine("d"), Engine("d")
+    s, held = passed_site(site, tmp_path, reader, one, other)
+    old = s.process
+    assert s.call(f"set-down {one.uid}").startswith("ok")
+    new = s.start("log.new")
+    assert eventually(lambda: "handover-taken" in s.log())
+    assert "bans=1" in s.log()
+    eventually(lambda: s.call("check").startswith("ok"))
+    old.send_signal(signal.SIGTERM)
+    asked = len(one.asked)
+    s.discovery.tell(one.target(boot_ms=1))  # it restarts cold meanwhile, and is listed ready again
+    for n in range(20):
+        assert s.chat(X_Route_Key=f"u{n}").status == 200
+    assert old.wait(5) == 0 and len(one.asked) == asked
+    assert s.call(f"set-up {one.uid}").startswith(f"ok {one.uid} is back")
+    for n in range(40):
+        if len(one.asked) > asked:
+            break
+        s.chat(X_Route_Key=f"v{n}")
+    assert len(one.asked) > asked
+    new.send_signal(signal.SIGTERM)
+    assert new.wait(5) == 0
+    held.close()
+
+
+def test_a_drain_called_during_an_upgrade_holds_in_the_new_process(site, tmp_path):
+    (tmp_path / "tmp").mkdir()
+    s, held = passed_site(site, tmp_path, Engine("p"), Engine("d"))
+    old = s.process
+    old_door = s.door_address
+    new = s.start("log.new")
+    eventually(lambda: s.call("check").startswith("ok"))
+    new_door, s.door_address = s.door_address, old_door
+    assert s.call("drain-on").startswith("ok draining")  # at the old process's door, while both run
+    s.door_address = new_door
+    assert eventually(lambda: "handover-followed" in s.log() and "drained=True" in s.log(), within=3)
+    old.send_signal(signal.SIGTERM)
+    assert old.wait(5) == 0
+    with Client(s.address) as c:
+        assert c.send("GET", "/-/ready").answer().status == 503
+    assert s.call("drain-off").startswith("ok serving")
+    with Client(s.address) as c:
+        assert c.send("GET", "/-/ready").answer().status == 200
+    new.send_signal(signal.SIGTERM)
+    assert new.wait(5) == 0
+    held.close()
+
+
+@pytest.mark.parametrize("left", [b"garbage\n", b'{"sha256":"00","body":"{}"}', None])
+def test_a_start_beside_a_spoilt_state_refuses_it_and_serves(site, tmp_path, left):
+    folder = tmp_path / "tmp"
+    folder.mkdir()
+    if left is not None:
+        (folder / "claycross-n0.state").write_bytes(left)
+    else:  # another gateway's, whole
+        foreign = Kept(3, time.time_ns(), {"x": 1}, True, 1)
+        (folder / "claycross-n0.state").write_bytes(wrap(body(foreign, "n7")))
+    s = site(Engine("p"), Engine("d"), door=True, tmp=folder)
+    assert "handover-refused" in s.log() and "handover-taken" not in s.log()
+    assert "written by gateway 'n7'" in s.log() or left is not None
+    assert s.chat().status == 200
+    with Client(s.address) as c:
+        assert c.send("GET", "/-/ready").answer().status == 200
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -2,12 +2,14 @@
 
 import signal
 import socket
+import threading
 import time
 
 import pytest
 
 from claycross.net.lines import Call, Lines, TooLong
-from standins.servers import Client, Engine, eventually
+from standins.servers import NEVER, Client, Engine, eventually
+from tests.test_gateway import answers
 
 
 def ready(s):
@@ -113,3 +115,86 @@
     new.send_signal(signal.SIGTERM)
     assert new.wait(5) == 0
     held.close()
+
+
+def test_a_ban_holds_over_discovery_and_a_cold_restart_until_the_call_back(site):
+    reader, one, other = Engine("p"), Engine("d"), Engine("d")
+    s = site(reader, one, other, door=True)
+    assert s.call(f"set-down {one.uid}").startswith(f"ok {one.uid} is out")
+    assert s.call(f"set-down {one.uid}").startswith("ok")  # again: the same
+    assert s.call("set-down s-never-listed").startswith("fail")
+    asked = len(one.asked)
+    for n in range(12):
+        assert s.chat(X_Route_Key=f"k{n}").status == 200
+        if n == 4:  # discovery lists it again, gone and back cold
+            s.discovery.tell({**one.target(), "state": "Gone"})
+            s.discovery.tell(one.target(boot_ms=int(time.time() * 1000)))
+            time.sleep(0.2)
+    assert len(one.asked) == asked and len(other.asked) >= 12
+    assert s.call(f"set-up {one.uid}").startswith(f"ok {one.uid} is back")
+    assert s.call(f"set-up {one.uid}").startswith("ok")
+    for n in range(40):
+        if len(one.asked) > asked:
+            break
+        assert s.chat(X_Route_Key=f"j{n}").status == 200
+    assert len(one.asked) > asked  # in use again after the call back
+
+
+def figures(s):
+    reply = s.call("vars")
+    lines = reply.splitlines()
+    assert lines[0] == "ok" and lines[-1] == "eof", reply
+    found = {}
+    for line in lines[1:-1]:
+        if line and not line.startswith("#"):
+            name, _, value = line.rpartition(" ")
+            found[name] = float(value)
+    return found
+
+
+STATUS = {200: "success", 429: "overload", 503: "overload"}
+
+
+@pytest.mark.parametrize("plan", [None, answers(500), answers(503, NEVER), answers(400)],
+                         ids=["served", "failing", "turned-away", "unusable"])
+def test_figures_read_during_a_burst_agree_with_what_the_clients_counted(site, plan):
+    reader, writer = Engine("p"), Engine("d", plan=plan)
+    s = site(reader, writer, door=True)
+    before = figures(s)
+    assert before["gateway_targets"] == 2 and before["gateway_targets_disabled"] == 0
+    assert before["gateway_dispatches"] == 0 and before["gateway_concurrent"] == 0
+    seen, during = [], []
+
+    def client(n):
+        for k in range(10):
+            seen.append(s.chat(X_Route_Key=f"c{n}-{k}").status)
+
+    threads = [threading.Thread(target=client, args=(n,)) for n in range(6)]
+    for t in threads:
+        t.start()
+    while any(t.is_alive() for t in threads):
+        during.append(figures(s))
+    for t in threads:
+        t.join()
+    after = figures(s)
+    told = {name: count for name in ("success", "overload", "error")
+            if (count := sum(STATUS.get(status, "error") == name for status in seen))}
+    assert len(seen) == 60
+    assert {k.split('"')[1]: v for k, v in after.items() if k.startswith("gateway_replies")} == told
+    assert after["gateway_concurrent"] == 0 and all(f["gateway_concurrent"] <= 6 for f in during)
+    assert after["gateway_dispatches"] == len(reader.asked) + len(writer.asked)
+    for name in ("gateway_dispatches", *(k for k in after if k.startswith("gateway_replies"))):
+        counts = [f.get(name, 0) for f in (before, *during, after)]
+        assert counts == sorted(counts)  # counted from the start: never back
+
+
+def test_figures_count_bans_and_the_gateways_own_avoidance_apart(site):
+    reader, one, other = Engine("p"), Engine("d"), Engine("d")
+    s = site(reader, one, other, door=True)
+    assert s.call(f"set-down {one.uid}").startswith("ok")
+    found = figures(s)
+    assert found["gateway_targets"] == 3 and found["gateway_targets_disabled"] == 1
+    assert found['gateway_targets_avoided{why="operator"}'] == 1
+    assert found['gateway_targets_avoided{why="gateway"}'] == 0
+    s.call(f"set-up {one.uid}")
+    assert figures(s)["gateway_targets_disabled"] == 0
