--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -2,8 +2,11 @@
 
 import contextlib
 import os
+import pathlib
 import signal
 import socket
+import subprocess
+import sys
 import time
 
 import pytest
@@ -165,3 +168,34 @@
     assert s.chat().status == 200
     with Client(s.address) as c:
         assert c.send("GET", "/-/ready").answer().status == 200
+
+
+WRITER = """
+import sys, time
+from claycross.decide.handover import Kept
+from claycross.handover import Handover
+keeper = Handover(sys.argv[1], "n0", print)
+n = 0
+while True:
+    n += 1
+    keeper.save(Kept(n, time.time_ns(), {f"s-{k}": k for k in range(n % 50)}, n % 2 == 0, n))
+    print(n, flush=True)
+"""
+
+
+@pytest.mark.parametrize("after", [0.05, 0.13, 0.31])
+def test_a_writer_killed_at_any_moment_leaves_the_last_whole_state(tmp_path, after):
+    root = pathlib.Path(__file__).parent.parent
+    writer = subprocess.Popen([sys.executable, "-c", WRITER, str(tmp_path)], stdout=subprocess.PIPE,
+                              text=True, cwd=root)
+    assert int(writer.stdout.readline()) >= 1
+    time.sleep(after)
+    writer.send_signal(signal.SIGKILL)
+    writer.wait()
+    logged = []
+    keeper = Handover(str(tmp_path), "n0", logged.append)
+    found = keeper.load(time.time_ns())
+    assert found is not None and found.sequence >= 1 and not logged
+    assert len(found.bans) == found.sequence % 50 and found.drained == (found.sequence % 2 == 0)
+    keeper.sweep()
+    assert [p.name for p in tmp_path.iterdir()] == ["claycross-n0.state"]
