A word to let go is passed on by several engines, one behind the other, not by one once

The call to let go is made there at once and given up after 252 ms (the dial's time-out); then one other engine, s-, is asked to pass it on, is cut off too, and is given up at 8.443 s, 504 ms after the outcome; nobody else is ever asked (seven tries at the holder, the last at 11.982 s). Lines: core.release(), `if n == 0 and others`: one engine, only after the first call had failed. Ruled out: a word sent late (0 ms after the outcome), the module letting go late, a new read's state.

Change. decide/letgo.py decides whom one word goes to: the holder; after a fifth of the rule's time without an answer (at once where the holder is in doubt) another engine that answered this gateway lately, else one of another zone by hash, then the next each fifth, six at most; the holder is tried on as before. The core carries it out, one timer a word; a call that is still dialling when its request is read anew is not written (`still`). A gateway that stops stays for a word until it is heard or twice the rule's time is over.

--- a/claycross/__main__.py
+++ b/claycross/__main__.py
@@ -393,7 +393,7 @@
             self.loop.later(40 * MS, lambda: self.hand_back(until))
 
     def end(self) -> None:
-        if any(f.clients for f in self.fronts) or any(c.open or c.leases for c in self.cores):
+        if any(f.clients for f in self.fronts) or any(c.open or c.owed() for c in self.cores):
             self.loop.later(20 * MS, self.end)
             return
         self.log("stopped")
--- a/claycross/core.py
+++ b/claycross/core.py
@@ -9,20 +9,21 @@
 
 from collections.abc import Callable
 from typing import Any, Protocol
-from zlib import crc32
 
 from . import interface as i
 from .decide.confirmed import Confirmation
+from .decide.letgo import Known, Word
 from .invariant import invariant
 from .policy import Router
 
 MS, SECOND = 1_000_000, 1_000_000_000
 SPARE = 20 * MS  # after a deadline, until a request that the module left unanswered is failed here
-RELEASE_AGAIN = (40 * MS, 80 * MS, 160 * MS, 320 * MS, 640 * MS, 1280 * MS)  # between tries to let go
 DOUBT_AGAIN = 60 * MS  # a read that was cut off may have ended well while the call to let go was on its way
 STILL, STILL_RESUMED = 15 * SECOND, 4 * SECOND  # without a word on a stream, until it is taken for broken
+MOST_WORDS = 4096  # to let go that are under way at once
 ROUNDS = 50  # of events that follow from actions, within one moment
 
+UNHEARD = ("connect_failed", "timeout", "cancelled", "moot")  # outcomes in which the engine said nothing
 CERTAIN = ("connect_failed", "full", "moot", "stateless")  # outcomes that leave nothing held there
 # How a request ended, in the words of the figures: served, refused, failed. One whose client left: nowhere.
 REPLIES = {"served": "success", "refused": "overload", "failed": "error", "overdue": "error",
@@ -48,7 +49,8 @@
 
     def start(self, attempt: Try) -> None: ...
     def abandon(self, attempt: Try) -> bool: ...
-    def release(self, engine: str, key: str, told: Callable[[bool], None]) -> None: ...
+    def release(self, engine: str, key: str, told: Callable[[bool], None],
+                still: Callable[[], bool]) -> None: ...
     def reserve(self, engine: str, key: str, told: Callable[[bool | None], None]) -> None: ...
     def probe(self, engine: str, told: Callable[[bool, i.LoadReport | None], None]) -> None: ...
 
@@ -95,7 +97,8 @@
         self.waiting: dict[int, i.Arrival] = {}  # came while the list did not stand yet
         self.last = 0  # number of the last request
         self.ends = 0  # when this gateway will be gone, once that is known
-        self.leases = 0  # calls to let go that are under way
+        self.words: dict[Word, Any] = {}  # to let go, under way, and the timer of each
+        self.answered: dict[str, int] = {}  # engines -> when they last answered this gateway
         self.counts: dict[str, int] = {}
         self.replies: dict[tuple[str, str], int] = {}  # (class, status) -> requests, since the start
         self.dispatches = 0  # attempts written whole to engines, since the start
@@ -239,8 +242,14 @@
                 self.listed.pop(entry.engine, None)
             else:
                 self.listed[entry.engine] = entry
+        self.answered = {e: at for e, at in self.answered.items() if e in self.listed}
         self.push(event)
 
+    def heard(self, engine: str) -> None:
+        """It has answered: its machine and the way there are well."""
+        if engine in self.listed:
+            self.answered[engine] = self.clock.now()
+
     def may_go(self, t: Try) -> bool:
         """Asked at the moment of the first byte: a drain may have been told while it was connecting."""
         entry = self.listed.get(t.engine)
@@ -252,6 +261,7 @@
         if t.over or r.over or r.stream:
             return False
         r.stream, t.began, r.began = t, True, self.clock.now() - r.came
+        self.heard(t.engine)
         r.holders.clear()  # with the first token all else that is held goes by itself
         if t.timer:
             t.timer.cancel()
@@ -300,6 +310,8 @@
         elif t.reads and result != "read" and t.engine in r.holders:
             r.holders[t.engine] = True
         self.count(result)
+        if result not in UNHEARD:
+            self.heard(t.engine)
         if self.trace:
             stage = "read" if t.reads else "write"
             self.trace(f"attempt request={r.key} n={t.n} engine={t.engine} stage={stage} result={result} "
@@ -396,33 +408,75 @@
         if not r:
             return
         for engine, doubt in r.holders.items():
-            self.release(engine, r.key, 0)
+            self.word(engine, r.key, doubt)
             if doubt:
-                self.clock.later(DOUBT_AGAIN, lambda engine=engine: self.release(engine, r.key, 0, True))
+                self.clock.later(DOUBT_AGAIN, lambda engine=engine: self.in_use(r.key, engine) or self.word(
+                    engine, r.key, True))
         r.holders.clear()
 
-    def release(self, engine: str, key: str, n: int, again: bool = False) -> None:
+    def in_use(self, key: str, holder: str) -> bool:
+        """To let go is to let go at every engine. Guards the state of a read that was sent since against
+        calls that are made again, for the sake of one given up; with the first token all goes."""
         r = self.open.get(self.keys.get(key, -1))
-        if again and r and not r.over and (r.holders or r.out):
-            # To let go is to let go at every engine. Guards the state of a read that was sent since against
-            # calls that are made again, for the sake of one given up; with the first token all goes.
-            r.holders.setdefault(engine, True)
+        if r and not r.over and (r.holders or r.out):
+            r.holders.setdefault(holder, True)  # it is let go of with what follows
+            return True
+        return False
+
+    def word(self, holder: str, key: str, doubt: bool) -> None:
+        zone = entry.zone if (entry := self.listed.get(holder)) else ""
+        while len(self.words) >= MOST_WORDS:
+            self.end_word(next(iter(self.words)))
+        w = Word(key, holder, zone, self.settings.release_within, self.clock.now(), doubt)
+        self.words[w] = None
+        self.pass_on(w)
+
+    def end_word(self, w: Word) -> None:
+        w.over = True
+        if timer := self.words.pop(w, None):
+            timer.cancel()
+
+    def pass_on(self, w: Word) -> None:
+        """What the word asks for now, and again when it says."""
+        if w.over:
             return
-        self.leases += 1
+        if (w.tries or w.relays) and self.in_use(w.key, w.holder):
+            return self.end_word(w)
+        now = self.clock.now()
+        for engine in w.due(now, (Known(e.engine, e.zone, self.answered.get(e.engine, 0))
+                                  for e in self.listed.values() if e.condition == "ready")):
+            self.call(w, engine)
+        if timer := self.words.get(w):
+            timer.cancel()
+        if (wait := w.wait(now)) is not None:
+            self.words[w] = self.clock.later(wait, lambda: self.pass_on(w))
+
+    def call(self, w: Word, engine: str) -> None:
+        if engine != w.holder or w.tries > 1:
+            self.count("release-retry")
 
         def told(heard: bool) -> None:
-            self.leases -= 1
-            if heard or n >= len(RELEASE_AGAIN) or engine not in self.listed:
-                if not heard:
-                    self.log(f"lease-lost engine={engine} request={key}")
+            if w.over:
                 return
-            self.count("release-retry")
-            # Any engine that runs passes the word on; guards what a machine that can't be reached would pin.
-            others = [e for e in sorted(self.listed) if e != engine and self.listed[e].condition == "ready"]
-            if n == 0 and others:  # another for each request: all gateways' words would go to one engine
-                self.calls.release(others[crc32(key.encode()) % len(others)], key, lambda _: None)
-            self.clock.later(RELEASE_AGAIN[n], lambda: self.release(engine, key, n + 1, True))
-        self.calls.release(engine, key, told)
+            if heard:
+                self.heard(engine)
+            w.answered(engine, heard, self.clock.now(), w.holder in self.listed)
+            if w.lost:
+                self.log(f"lease-lost engine={w.holder} request={w.key} relays={len(w.relays)}")
+            if w.over:
+                self.end_word(w)
+            elif not heard:
+                self.pass_on(w)
+        self.calls.release(engine, w.key, told, lambda: not w.over and not self.used_again(w.key))
+
+    def used_again(self, key: str) -> bool:
+        r = self.open.get(self.keys.get(key, -1))
+        return bool(r and not r.over and r.out)
+
+    def owed(self) -> int:
+        """Words to let go for which a gateway that stops has to stay."""
+        now = self.clock.now()
+        return sum(w.owed(now) for w in self.words)
 
     def reserve(self, a: i.Reserve) -> None:
         r = self.open.get(a.request)
--- /dev/null
+++ b/claycross/decide/letgo.py
@@ -0,0 +1,97 @@
+"""To whom the word is passed that what is held for a request may go, and when again.
+
+Owns one word: the engine that holds a read state or a place, the tries to reach it, and the other engines
+that are asked to pass the word on while it does not answer. It must never spend the rule's time waiting on
+one engine alone, ask more than a stated number, or stop before the holder was told, as long as tries are
+left. It reads no clock and does no I/O: times are nanoseconds and come in as arguments.
+
+Why: a call to let go may be made at any engine that runs, and the rule counts from the last outcome until one
+of them has it. A machine that is cut off answers nothing, so a call there is known to have failed only when
+its connection was given up; with a whole zone cut off, an engine that is asked to pass the word on is as
+likely to be silent. So they are asked one behind the other without waiting for the one before: first those
+that have answered this gateway lately.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from hashlib import blake2b
+from typing import NamedTuple
+
+MS = 1_000_000
+AGAIN = (40 * MS, 80 * MS, 160 * MS, 320 * MS, 640 * MS, 1280 * MS)  # between tries at the holder
+HEDGE_SHARE = 0.2  # of the rule's time: an engine that has not answered by then is not waited for
+MOST_RELAYS = 6  # engines that are asked to pass one word on
+FRESH = 2000 * MS  # an engine that answered so lately is likely to do so again
+
+
+class Known(NamedTuple):
+    """An engine that may be asked to pass a word on."""
+
+    engine: str
+    zone: str
+    heard: int  # when it last answered this gateway; 0: never
+
+
+class Word:
+    """One word to let go, about the request `key`, meant for `holder`. `doubt`: the holder did not answer."""
+
+    def __init__(self, key: str, holder: str, zone: str, release_within: int, now: int, doubt: bool):
+        self.key, self.holder, self.zone, self.began = key, holder, zone, now
+        self.within, self.hedge = release_within, max(1, int(HEDGE_SHARE * release_within))
+        self.tries, self.relays, self.out = 0, list[str](), set[str]()
+        self.next_try: int | None = now
+        self.next_relay: int | None = now if doubt else now + self.hedge
+        self.passed = self.over = self.lost = False
+
+    def due(self, now: int, others: Iterable[Known]) -> list[str]:
+        """The engines to call now; each call is told back by answered(). `others`: those that take calls."""
+        calls: list[str] = []
+        if self.over:
+            return calls
+        if self.next_try is not None and now >= self.next_try:
+            self.next_try = None
+            self.tries += 1
+            calls.append(self.holder)
+        if self.next_relay is not None and now >= self.next_relay:
+            self.next_relay = None
+            if chosen := self.choose(now, others):
+                self.relays.append(chosen)
+                calls.append(chosen)
+                if len(self.relays) < MOST_RELAYS:
+                    self.next_relay = now + self.hedge
+        self.out.update(calls)
+        return calls
+
+    def choose(self, now: int, others: Iterable[Known]) -> str:
+        """Those that answered lately first, then those of other zones; by hash, so that the words of all
+        gateways do not go to one engine."""
+        def order(k: Known) -> tuple[bool, bool, bytes]:
+            fresh = k.heard > 0 and now - k.heard < FRESH
+            return not fresh, k.zone == self.zone, blake2b(f"{self.key}|{k.engine}".encode()).digest()
+        fit = [k for k in others if k.engine != self.holder and k.engine not in self.relays]
+        return min(fit, key=order).engine if fit else ""
+
+    def answered(self, engine: str, heard: bool, now: int, listed: bool = True) -> None:
+        """How a call ended. `listed`: whether the holder is on the list still; else it is not tried again."""
+        self.out.discard(engine)
+        if engine != self.holder:
+            if heard:
+                self.passed, self.next_relay = True, None
+            elif self.next_relay is not None:
+                self.next_relay = min(self.next_relay, now)  # known to have failed: the next one at once
+        elif heard:
+            self.over = True
+        elif self.tries > len(AGAIN) or not listed:
+            self.over, self.lost = True, not self.passed
+        else:
+            self.next_try = now + AGAIN[self.tries - 1]
+
+    def wait(self, now: int) -> int | None:
+        """Until due() is to be asked again; None: not before a call has ended."""
+        times = [t for t in (self.next_try, self.next_relay) if t is not None]
+        return max(0, min(times) - now) if times and not self.over else None
+
+    def owed(self, now: int) -> bool:
+        """Whether a gateway that stops has to stay for it."""
+        return not (self.over or self.passed or now - self.began > 2 * self.within)
--- a/claycross/upstream/calls.py
+++ b/claycross/upstream/calls.py
@@ -96,19 +96,22 @@
 
     # ------------------------------------------------------------ calls that carry no request
 
-    def call(self, engine: str, method: str, target: str, told: Callable[[Small | None], None]) -> None:
+    def call(self, engine: str, method: str, target: str, told: Callable[[Small | None], None],
+             still: Callable[[], bool] = lambda: True) -> None:
+        """`still`: asked once more when the call could be written, for a connection takes time."""
         def work() -> None:
             if endpoint := self.endpoints.get(engine):
                 try:
-                    return told(self.client(endpoint).call(endpoint, method, target))
+                    return told(self.client(endpoint).call(endpoint, method, target, still))
                 except NotSpoken:
                     pass
             endpoint = endpoint or self.gone.get(engine)
-            told(self.http1.call(endpoint, method, target) if endpoint else None)
+            told(self.http1.call(endpoint, method, target, still) if endpoint else None)
         self.loop.spawn(work)
 
-    def release(self, engine: str, key: str, told: Callable[[bool], None]) -> None:
-        self.call(engine, "DELETE", f"/kv/leases/{key}", lambda found: told(found is not None))
+    def release(self, engine: str, key: str, told: Callable[[bool], None],
+                still: Callable[[], bool]) -> None:
+        self.call(engine, "DELETE", f"/kv/leases/{key}", lambda found: told(found is not None), still)
 
     def reserve(self, engine: str, key: str, told: Callable[[bool | None], None]) -> None:
         self.call(engine, "POST", f"/kv/leases/{key}", lambda found: told(
--- a/claycross/upstream/http1.py
+++ b/claycross/upstream/http1.py
@@ -168,7 +168,8 @@
             if not data:
                 raise Closed("ended before its answer")
 
-    def call(self, endpoint: Endpoint, method: str, target: str) -> Small | None:
+    def call(self, endpoint: Endpoint, method: str, target: str,
+             still: Callable[[], bool] = lambda: True) -> Small | None:
         """A broken connection that was used before is replaced, once."""
         for _ in range(2):
             before = self.pool.reused
@@ -177,6 +178,9 @@
             except Closed:
                 return None
             fresh = before == self.pool.reused
+            if not still():
+                self.pool.give(endpoint.address, conn)
+                return None
             try:
                 conn.send(request(method, target, [("Host", str(endpoint))]), CALL_WAIT)
                 head, body, fit = self.small(conn)
--- a/claycross/upstream/http2.py
+++ b/claycross/upstream/http2.py
@@ -450,9 +450,10 @@
             raise NotSpoken
         return Result(WORDS[why]) if why in WORDS else NEVER_WENT
 
-    def call(self, endpoint: Endpoint, method: str, target: str) -> Small | None:
+    def call(self, endpoint: Endpoint, method: str, target: str,
+             still: Callable[[], bool] = lambda: True) -> Small | None:
         peer = self.peer(endpoint)
-        stream = Stream(peer, method, target, list, b"", lambda: True)
+        stream = Stream(peer, method, target, list, b"", still)
         peer.ask(stream, True, CALL_WAIT)
         until, status, body = self.loop.now() + 2 * CALL_WAIT, 0, b""
         try:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -51,7 +51,7 @@
     def abandon(self, t):
         return True
 
-    def release(self, engine, key, told):
+    def release(self, engine, key, told, still):
         self.released.append((engine, key))
         told(engine not in self.deaf)
 
@@ -101,7 +101,7 @@
     r, first = asked(core)
     core.done(first, "reset")
     core.flush()
-    core.release(first.engine, "k1", 1, again=True)
+    assert core.in_use("k1", first.engine)
     assert not wires.released and r.holders[first.engine]  # it is let go of with what follows
     core.left(r)
     core.flush()
