Requests are numbered from a start of each gateway's own: ties fell alike at all of them

Engines are alike (64 writers of hint 4, 36 readers of hint 13), so not size; streams are 8 a writer in the mean, so not load. `pick_writer` breaks ties by rank(str(r.id), engine), and r.id counts from one in each process (`Core.last = 0`): the n-th requests of 198 gateways, which come in the same seconds, all rank the writers alike.

`Core.last` starts from the seed's bits, new with each start.

Test: forty cores, their n-th requests over ten writers that look alike (fails without).

--- a/claycross/core.py
+++ b/claycross/core.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -95,7 +96,9 @@
         self.listed: dict[str, i.EngineEntry] = {}
         self.confirmed: Confirmation | None = None  # the list's standing; None: it always stands
         self.waiting: dict[int, i.Arrival] = {}  # came while the list did not stand yet
-        self.last = 0  # number of the last request
+        # Number of the last request. The module breaks ties by hashes of it: guards against gateways that all
+        # count from one, whose hundredth requests all went to the same engine of many that looked alike.
+        self.last = random.Random(seed).getrandbits(32) << 20
         self.ends = 0  # when this gateway will be gone, once that is known
         self.words: dict[Word, Any] = {}  # to let go, under way, and the timer of each
         self.answered: dict[str, int] = {}  # engines -> when they last answered this gateway
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -268,3 +268,25 @@
     actions = d.reply(1, "timeout")
     notes = [n for a in actions if isinstance(a, i.Tell) for n in decode(a.payload)]
     assert any(kind == BAD for kind, *_ in notes) == told
+
+
+def test_gateways_that_have_taken_as_many_requests_do_not_all_choose_the_same_writer():
+    """They numbered requests from one each, and ties are broken by a hash of the number: with nothing told
+    between 198 gateways, first tokens at the writers that all of them chose took over a second."""
+    for n in range(5):  # the n-th request of each
+        chosen = {}
+        for me in range(FLEET):
+            time = Time()
+            core = Core(settings(me=me, nodes=FLEET), me, time, lambda text: None)
+            core.calls = Wires()
+            core.list(i.EngineList("full", [entry("r1"), *(entry(f"w{k}", cell=0, zone="north")
+                                                           for k in range(1, 11))]))
+            for k in range(n + 1):
+                core.arrive(i.Arrival(0, "ask", 6 * SECOND, prompt=1000, max_output=100), f"k{k}", None,
+                            Client())
+                core.flush()
+                core.done(core.calls.started[-1], "read")
+                core.flush()
+            writer = core.calls.started[-1].engine
+            chosen[writer] = chosen.get(writer, 0) + 1
+        assert len(chosen) >= 7 and max(chosen.values()) <= 12, chosen  # 4 each in the mean
