--- a/claycross/__main__.py
+++ b/claycross/__main__.py
@@ -42,6 +42,7 @@
 
 if TYPE_CHECKING:
     from .fronts.figures import Figures, Reading
+    from .net.rounds import Rounds
     from .options import Http2 as Http2Options
 
 VERSION = "0.2.0"
@@ -72,6 +73,7 @@
         self.config, self.loop, self.http2 = config, Loop(), http2
         self.reread: Callable[[], tuple[Config, Address]] | None = None  # the files anew, and whom to watch
         self.stopping, self.peers = False, None
+        self.rounds: Rounds | None = None
         self.began, self.drained = self.loop.now(), False
         self.confirmed = Confirmation(self.began, figures(config.settings))
         self.bans = Bans()
@@ -336,9 +338,19 @@
                 self.log(f"excluded-{core.name} engines={','.join(out)}")
         if self.peers:
             self.log("stats-peers " + " ".join(f"{k}={v}" for k, v in self.peers.figures().items()))
+        if self.rounds:
+            self.log(f"stats-rounds {self.rounds.figures()}")
         loop.worst_late = 0
         loop.later(STATS, self.stats)
 
+    def trace(self) -> None:
+        """`--trace`: a line for each end of an attempt or request, and for each late round of the loop."""
+        from .net.rounds import Rounds
+
+        for core in self.cores:
+            core.trace = self.log
+        self.rounds = Rounds(self.loop, self.log)
+
     def status(self) -> dict[str, object]:
         """What the administration API shows: the figures of the log's stats, now."""
         return {"version": VERSION, "stopping": self.stopping, "errors": self.loop.errors,
@@ -453,8 +465,8 @@
         where = " or ".join(f"{f.listen[0]}:{f.listen[1]}" for f in files[:3] if f)
         given = "" if files[0].passed is None else f" (given descriptor {files[0].passed})"
         complain(f"cannot listen on {where}{given}: {err.strerror}")
-    for core in gateway.cores if trace else ():
-        core.trace = gateway.log
+    if trace:
+        gateway.trace()
 
     def reread() -> tuple[Config, Address]:
         env = {k: v for k, v in os.environ.items() if k != "PROXY_DISCOVERY"}  # the start's; the file is new
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -167,7 +167,13 @@
             wait = 0
         else:
             wait = max(0, -(-(self.wheel.next_due() * TICK - self.now()) // MS))
-        ready = self.poller.poll(wait)
+        late = self.work(self.poller.poll(wait))
+        if late > LATE:
+            self.late_rounds += 1
+        self.worst_late = max(self.worst_late, late)
+
+    def work(self, ready: list[tuple[int, int]]) -> int:
+        """One round after its poll; returns how late its last piece of work was, in nanoseconds."""
         start = self.now()
         for fd, mask in ready:
             if call := self.watched.get(fd):
@@ -183,10 +189,7 @@
         for call in self.after_round:
             self.guard(call)
         self.rounds += 1
-        late = max(self.now() - start, start - due[0].due * TICK if due else 0)
-        if late > LATE:
-            self.late_rounds += 1
-        self.worst_late = max(self.worst_late, late)
+        return max(self.now() - start, start - due[0].due * TICK if due else 0)
 
     def run_urgent(self) -> None:
         for _ in range(len(self.urgent)):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -554,8 +554,8 @@
         chat(busy)
         assert busy.file.readline().startswith(b"HTTP/1.1 200")
         s.process.send_signal(signal.SIGTERM)
-        eventually(lambda: "stopping" in s.log())
-        with s.client() as late:
+        with s.client() as late:  # at once: read late, the log says what is no longer so
+            eventually(lambda: "stopping" in s.log())
             chat(late)
             assert not idle.to_end()  # closed, with nothing said
             with pytest.raises(ConnectionRefusedError):
