Among more than forty gateways work is told while engines of its role are cold

Line: Board.tells_work, by the number of gateways alone.

Router.worth_telling: among more than 40 a piece of work is told while an engine of its role is cold; a read's note ends with the read where the write that follows is not told. Test: which notes go out by which role is cold.

--- a/claycross/decide/fleet/board.py
+++ b/claycross/decide/fleet/board.py
@@ -23,7 +23,7 @@
 SECOND = 1_000_000_000
 OUTSTANDING = 2048  # notes kept of one sender
 PATIENCE = 300_000_000  # for which the word of an end waits for other notes to go with
-ALL_TELL = 40  # gateways up to which each tells its work; of more, each tells only what fails (docs/fleet.md)
+ALL_TELL = 40  # gateways up to which each tells its work; of more, while some engine is cold (docs/fleet.md)
 
 Note = tuple[int, int, int, int]  # kind, number, engine's tag, size in tokens
 
@@ -64,7 +64,7 @@
     """
 
     def __init__(self, nodes: int, tag_of: Callable[[str], int]):
-        self.nodes, self.tag_of, self.tells_work = nodes, tag_of, nodes <= ALL_TELL
+        self.nodes, self.tag_of, self.few = nodes, tag_of, nodes <= ALL_TELL
         self.tags: dict[str, int] = {}
         self.notes: dict[int, dict[int, tuple[int, int, int, int]]] = {}  # by sender and number
         self.sums: dict[tuple[int, int], float] = {}  # kind and tag -> tokens
@@ -84,8 +84,6 @@
 
     def begins(self, kind: int, request: int, engine: str, size: float) -> None:
         """It was sent there: `size` tokens to read or to hold. It takes the place of what it had in hand."""
-        if not self.tells_work:
-            return
         if (number := self.mine.get(request)) is None:
             number = self.last = (self.last + 1) % FORGET
             self.mine[request] = number
@@ -170,6 +168,6 @@
 
     def live(self, now: int) -> bool:
         """Whether the sums can be gone by: the others are heard, so that silence is no sign of idleness.
-        Among more than ALL_TELL nobody tells, and an engine has room until it says that it is full: to take
-        one's own streams times the gateways for its load would make one stream look like two hundred."""
-        return not self.tells_work or now - self.heard < READ_LIFE * SECOND
+        Among more than ALL_TELL work is told at times only, and an engine has room until it says that it is
+        full: one's own streams times the gateways, taken for its load, made one stream look like 200."""
+        return not self.few or now - self.heard < READ_LIFE * SECOND
--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -475,7 +475,7 @@
         began = (r.id, a.n) not in e.pending
         e.pending.pop((r.id, a.n), None)
         e.streams.pop(r.id, None)
-        if event.result != "read":  # then the write takes its place
+        if event.result != "read" or not self.worth_telling("write"):  # else the write takes its place
             self.board.ends(r.id)
         if a.reads:
             e.reading = max(0.0, e.reading - a.work)
@@ -537,6 +537,12 @@
 
     # ------------------------------------------------------------ the gate and the exit
 
+    def worth_telling(self, role: str) -> bool:
+        """Among many nodes a note costs more than it brings, but while engines of the role are cold: they
+        bear so little that nodes which don't know of each other's work put far too much on them."""
+        return self.tells and (self.board.few or self.health.once("cold", role, lambda: any(
+            self.health.cold(p, self.now) for p in self.health.peers(role))))
+
     def elsewhere(self, r: Request, a: Attempt) -> bool:
         """Whether calling it off leaves another way. A write that may not run twice has none: until its
         deadline a late first token is worth more than a certain failure."""
@@ -576,7 +582,7 @@
         r.out += 1
         e.pending[(r.id, a.n)] = a
         e.sends.append((self.now, 1.0))
-        if self.tells and (not reads or work >= TELL_READ):
+        if (not reads or work >= TELL_READ) and self.worth_telling(e.role):
             self.board.begins(READ if reads else WRITE, r.id, e.id, work if reads else r.need)
         self.health.memo.pop(("choosable", e.role), None)  # on trial now, or its cold share used
         if reads:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,7 +9,7 @@
 
 from claycross import interface as i
 from claycross.core import Core
-from claycross.decide.fleet.board import BAD, FORGET, READ, decode, encode
+from claycross.decide.fleet.board import BAD, FORGET, OVER, READ, WRITE, decode, encode
 from claycross.net.loop import Timer
 from claycross.policy import rank
 from tests.desk import MS, READERS, SECOND, WRITERS, Desk, Outcome, Release, entry, kinds, sends, settings
@@ -288,6 +288,23 @@
     assert [kind for kind, *_ in found if kind == BAD], "failures are told among any number"
 
 
+@pytest.mark.parametrize(("engines", "told"), [
+    (["r1", "r2", "w1", "w2"], []),
+    ([entry("r1", started_at=99 * SECOND), "r2", "w1", "w2"], [READ, OVER]),
+    (["r1", "r2", entry("w1", started_at=99 * SECOND), "w2"], [WRITE, OVER]),
+    ([entry(n, started_at=99 * SECOND) for n in ("r1", "w1")] + ["r2", "w2"], [READ, WRITE, OVER]),
+])
+def test_among_many_work_is_told_where_engines_of_its_role_are_cold(engines, told):
+    """With nothing told the days of replaced engines fell: join+mass 0.76 to 0.18, roll+mass to 0.43."""
+    d = Desk(engines=engines, nodes=198, peers=True, **COLD)
+    actions = [*d.ask(1, prompt=3000)]
+    assert sends(actions)
+    actions += [*d.reply(1, "read"), *d.begin(1), *d.reply(1, "ok", SECOND, ended=True), *d.wait(SECOND)]
+    actions += d.do()
+    notes = [x for a in actions if isinstance(a, i.Tell) for x in decode(a.payload) if x[1] != FORGET]
+    assert [kind for kind, *_ in notes] == told and not d.router.board.mine
+
+
 @pytest.mark.parametrize("heard", [True, False])
 def test_one_stream_is_not_taken_for_two_hundred_where_work_is_not_told(heard):
     """Writers have room until they say they are full; else reads wait for room that is there."""
