A silent engine is blamed while an unsafe write waits there; two dials may follow a read

Change. arm() blames the engine once when such a write outlasts its patience; pump() lets a state go after two dials that failed in a row behind a read, after one behind a write that was given up as silent. Tests extended.

--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -61,6 +61,7 @@
         self.work, self.expected, self.claimed = work, expected, claimed
         self.home = home  # sent to a home of what this node does not know
         self.patience = int(PATIENCE * expected + PATIENCE_MIN)
+        self.blamed = False  # its engine, for silence, while it is still waited for
         self.ahead, self.result, self.cancelled = 0.0, "", False  # tokens that were to be read before it
 
 
@@ -738,9 +739,10 @@
     def pump(self) -> None:
         """Sends on what is staged, then starts the reads for which there is room."""
         for r in list(self.staged.values()):
-            # Guards rule 5: a dial that fails lasts about as long as a state may be held. It could read anew
-            # what the next writer would have taken.
-            spent = self.held_long(r) and r.attempts[-1].result == "connect_failed"
+            # Guards rule 5: dials that fail last about as long as a state may be held: two after a read, one
+            # after a write given up as silent, which may have ended before. It could read anew for nothing.
+            dials = [a.result for a in r.attempts[-2:]].count("connect_failed") if self.held_long(r) else 0
+            spent = dials == 2 or (dials and not r.attempts[-2].reads)
             e = None if spent else self.pick_writer(r, r.state_at)
             if e is not None and self.send(r, e, False, 0.0, self.health.typical(e.role)):
                 del self.staged[r.id]
@@ -806,10 +808,14 @@
         if self.s.may_cancel:  # a silent engine's: the dead send no reset, so it is tried elsewhere
             for r in self.requests.values():
                 for a in r.attempts:
-                    if ((r.id, a.n) in a.engine.pending and not a.cancelled
-                            and self.health.silent(a.engine, a, self.now) and self.elsewhere(r, a)):
-                        a.cancelled = True
-                        self.acts.append(Cancel(r.id, a.n))
+                    if ((r.id, a.n) in a.engine.pending and not a.cancelled and not a.blamed
+                            and self.health.silent(a.engine, a, self.now)):
+                        if self.elsewhere(r, a):
+                            a.cancelled = True
+                            self.acts.append(Cancel(r.id, a.n))
+                        else:  # it is waited for, but others must not wait there, too
+                            a.blamed = True
+                            self.health.bad(a.engine, self.now, silent=True)
         if (span := self.now - self.aged) > SECOND:
             self.aged = self.now
             self.table.age(self.now, span)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -331,6 +331,8 @@
     assert any(isinstance(a, i.Cancel) for a in actions) == called_off
     if not called_off:
         assert d.sent_at[1, 1] + d.out[1, 1].timeout > 105 * SECOND  # its deadline, but for a margin
+        silent = d.router.health.engines[d.out[1, 1].engine]
+        assert silent.fails or silent.ejections  # others are told, and don't wait there, too
         d.begin(1)
         assert d.router.requests[1].stage == "streaming"
 
