--- a/bench/members.py
+++ b/bench/members.py
@@ -1,8 +1,8 @@
-"""Membership in virtual time: how soon the dead are known, how often the living are taken for dead, what it costs.
+"""Membership in virtual time: how soon the dead are known, who is wrongly taken for dead, what it costs.
 
     .venv-dev/bin/python -m bench.members [--sizes 4 12 40 200] [--kills 20] [--minutes 10] [--loss 0.2]
 
-Prints the tables of docs/fleet.md. `--minutes 0` leaves out the long run under loss. Seeded: the same each time.
+Prints the tables of docs/fleet.md. `--minutes 0` leaves out the long run under loss. Seeded: always the same.
 On request only: a long run with 200 members takes some minutes.
 """
 
@@ -82,7 +82,7 @@
               f"{quantile(g, 0.5):.1f}, {quantile(g, 0.99):.1f} | {messages:.2f} | {byte:.0f} |", flush=True)
     if args.minutes:
         wrong, refuted = false(max(args.sizes), args.minutes, args.loss)
-        print(f"\n{max(args.sizes)} members, {args.minutes:g} virtual minutes, {args.loss:.0%} of datagrams lost: "
+        print(f"\n{max(args.sizes)} members, {args.minutes:g} virtual minutes, {args.loss:.0%} lost: "
               f"{wrong} taken for gone that were not; {refuted} suspicions refuted")
 
 
