The drill asks by the demo's call: one function in place of two alike

A last read of the change: Drill.ask wrote Demo.ask again but for its time-out. Now one function in demo.py, its time-out an argument.

--- a/claycross/emulator/demo.py
+++ b/claycross/emulator/demo.py
@@ -38,6 +38,21 @@
     first: list[float] = field(default_factory=list)  # seconds to the first byte of those served
 
 
+def ask(address: str, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None,
+        timeout: float = 30) -> tuple[int, bytes, float]:
+    """Status, body and seconds to the first byte of one request. A connection that broke in the midst of
+    an answer raises http.client.IncompleteRead."""
+    start = time.monotonic()
+    link = http.client.HTTPConnection(address, timeout=timeout)
+    try:
+        link.request(method, path, body, headers or {})
+        answer = link.getresponse()
+        first = time.monotonic() - start
+        return answer.status, answer.read(), first
+    finally:
+        link.close()
+
+
 class Part:
     """One process of this program, and its log."""
 
@@ -144,19 +159,7 @@
 
     # ------------------------------------------------------------ requests
 
-    def ask(self, address: str, method: str, path: str, body: bytes = b"",
-            headers: dict[str, str] | None = None) -> tuple[int, bytes, float]:
-        """Status, body and seconds to the first byte of one request. A connection that broke in the midst of
-        an answer raises http.client.IncompleteRead."""
-        start = time.monotonic()
-        link = http.client.HTTPConnection(address, timeout=30)
-        try:
-            link.request(method, path, body, headers or {})
-            answer = link.getresponse()
-            first = time.monotonic() - start
-            return answer.status, answer.read(), first
-        finally:
-            link.close()
+    ask = staticmethod(ask)
 
     def one(self, n: int) -> None:
         """One client's request: as a front layer does, the next gateway is tried where none is listening."""
--- a/claycross/emulator/drill.py
+++ b/claycross/emulator/drill.py
@@ -20,13 +20,14 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Annotated, Literal
 
 import click
 import msgspec
 
 from ..options import read
-from .demo import CLASSES, ROOT, Part, settings
+from .demo import CLASSES, ROOT, Part, ask, settings
 from .relay import Fault, Network, Spare
 
 DRAIN_WITHIN, HELD_WITHIN = 0.25 + 0.05, 0.3 + 0.3  # seconds: the rules, with the slack of many gateways
@@ -189,17 +190,7 @@
 
     # ------------------------------------------------------------ the load
 
-    def ask(self, address: str, method: str, path: str, body: bytes = b"",
-            headers: dict[str, str] | None = None) -> tuple[int, bytes, float]:
-        start = time.monotonic()
-        link = http.client.HTTPConnection(address, timeout=GIVE_UP + 14)
-        try:
-            link.request(method, path, body, headers or {})
-            answer = link.getresponse()
-            first = time.monotonic() - start
-            return answer.status, answer.read(), first
-        finally:
-            link.close()
+    ask = staticmethod(partial(ask, timeout=GIVE_UP + 14))
 
     def since(self) -> float:
         return time.monotonic() - self.zero
