--- a/claycross/decide/fleet/members.py
+++ b/claycross/decide/fleet/members.py
@@ -148,8 +148,7 @@
         m.heard = now
         for k in [k for k, p in self.probes.items() if p.target == sender and not p.for_whom]:
             del self.probes[k]
-        if m.state == SUSPECT:  # others must hear it from itself; here it counts from anew
-            m.until = max(m.until, now + self.suspicion(m.accuser))
+        self.helped(now, sender)
 
     def stop(self, now: int, ends: int) -> None:
         """This gateway was told to stop and will be gone at `ends`: said to everyone."""
@@ -209,7 +208,8 @@
             self.mute_far.clear()
 
     def helped(self, now: int, target: int) -> None:
-        """Another gateway reached it: it lives, and the way there is what is at fault."""
+        """It was heard, or another gateway reached it: it lives. Others must hear it from itself; here the
+        suspicion counts from anew."""
         m = self.members[target]
         if m.state == SUSPECT:
             m.until = max(m.until, now + self.suspicion(m.accuser))
