The storm's stand-in lowers a limit only once its first settings were heard

Replayed with both ends of the library alone and no gateway: a server that lowers its limit before its first settings were acknowledged takes that first acknowledgement for the word on the new limit (standins/http2.py, H2Wire.allow), and finds fault with a stream that its client opened before it could know. Ruled out: the gateway (the library refuses to open a stream over a limit it has heard of).

Limits wanted before that are now told right after it. A test causes exactly this order on a socket pair and fails without the change (same fault).

--- a/standins/http2.py
+++ b/standins/http2.py
@@ -88,6 +88,7 @@
         self.lock = threading.RLock()
         self.room = threading.Condition(self.lock)
         self.streams, self.settled = {}, threading.Event()
+        self.acknowledged, self.later = False, []  # the first settings; limits wanted before that
         self.h2 = h2.connection.H2Connection(h2.config.H2Configuration(
             client_side=False, header_encoding="latin-1", validate_outbound_headers=False))
         codes = h2.settings.SettingCodes
@@ -116,6 +117,12 @@
             self.sock.sendall(data)
 
     def allow(self, limit):
+        """Not before the first settings are acknowledged: the library takes that for the word on this limit,
+        too, and finds fault with a stream that was opened before the limit was known."""
+        with self.lock:
+            if not self.acknowledged:
+                self.later.append(limit)
+                return
         self.do(lambda c: c.update_settings({LIMIT: limit}))
 
     def goaway(self, last, code=0):
@@ -192,6 +199,10 @@
                     stream.over.set()
             case h2.events.RemoteSettingsChanged():
                 self.settled.set()
+            case h2.events.SettingsAcknowledged() if not self.acknowledged:
+                self.acknowledged = True
+                for limit in self.later:
+                    self.h2.update_settings({LIMIT: limit})
             case h2.events.PingReceived():
                 self.engine.pings += 1
             case h2.events.ConnectionTerminated():
--- a/tests/test_http2_storm.py
+++ b/tests/test_http2_storm.py
@@ -3,10 +3,15 @@
 import collections
 import contextlib
 import random
+import socket
 import threading
 import time
+import types
 
-from standins.http2 import H2Engine
+import h2.config
+import h2.connection
+
+from standins.http2 import LIMIT, H2Engine, H2Wire
 from standins.servers import EVENTS, NEVER, chat, eventually
 
 REQUESTS, CLIENTS, SEED, DEADLINE = 2000, 40, 20261201, 4.0
@@ -162,3 +167,25 @@
     assert not twice and min(fleet.did[x] for x in ("limit", "goaway", "died")) > 3, fleet.did
     eventually(lambda: not fleet.held)
     assert not any(engine.faults for engine in engines), [e.faults for e in engines]
+
+
+def test_a_limit_lowered_before_the_first_settings_were_heard_blames_nobody():
+    """The stand-in itself: a stream that was opened before its client could know of the limit is no fault."""
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        engine = types.SimpleNamespace(limit=30, window=65_535, window_whole=0, faults=[], heads=[], most=0,
+                                       at_head=None, take=lambda message, stream: None)
+        link = H2Wire(engine, types.SimpleNamespace(sock=ours))
+        client = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True))
+        threading.Thread(target=link.talk, daemon=True).start()
+        client.initiate_connection()
+        client.receive_data(theirs.recv(65_536))
+        link.allow(0)
+        client.send_headers(1, [(":method", "GET"), (":path", "/"), (":scheme", "http"), (":authority", "x")])
+        theirs.sendall(client.data_to_send())
+        eventually(lambda: engine.heads or engine.faults)
+        assert not engine.faults
+        theirs.settimeout(5)
+        while client.remote_settings[LIMIT] != 0:  # it is told all the same, once that is heard
+            client.receive_data(theirs.recv(65_536))
+            theirs.sendall(client.data_to_send())
