--- a/tests/test_http2_storm.py
+++ b/tests/test_http2_storm.py
@@ -177,7 +177,8 @@
                                        at_head=None, take=lambda message, stream: None)
         link = H2Wire(engine, types.SimpleNamespace(sock=ours))
         client = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True))
-        threading.Thread(target=link.talk, daemon=True).start()
+        talking = threading.Thread(target=link.talk, daemon=True)
+        talking.start()
         client.initiate_connection()
         client.receive_data(theirs.recv(65_536))
         link.allow(0)
@@ -189,3 +190,5 @@
         while client.remote_settings[LIMIT] != 0:  # it is told all the same, once that is heard
             client.receive_data(theirs.recv(65_536))
             theirs.sendall(client.data_to_send())
+        theirs.shutdown(socket.SHUT_WR)
+        talking.join(5)
