A collector that stops passes its turn on at once; a new process is told all sums

A collector's turn passed on only after 2.5 s of silence; a new process was told 61 sums at most, reads first, and the rest within 8 s; of two datagrams that overtook each other the earlier was dropped whole; and a first candidate that started beside a later holder never took its turn.

Change: the word LEAVING at SIGTERM (event Stopping to the module), silence of 1.2 s, all sums to who asks in as many datagrams as they need, later words judged by engine and not by datagram, and a candidate that hears a later one claims its turn. The least change of a writer's sum that is told is a share of a writer's memory.

--- a/claycross/__main__.py
+++ b/claycross/__main__.py
@@ -27,7 +27,7 @@
 from .fronts.embeddings import EmbeddingsFront
 from .fronts.platform import Platform
 from .handover import Handover
-from .interface import EngineList, Heard, Settings
+from .interface import EngineList, Heard, Settings, Stopping
 from .invariant import broken, say, unwritten
 from .membership.discovery import Discovery
 from .membership.etcd import Etcd
@@ -416,6 +416,7 @@
         self.log(f"stopping open={sum(len(core.open) for core in self.cores)}")
         for core in self.cores:
             core.ends = self.loop.now() + HANDED_BACK
+            core.push(Stopping())
         for front in self.fronts:
             front.drain()
             if front.listener.shared:  # what comes now waits in the socket for the process that takes over
--- a/claycross/decide/fleet/board.py
+++ b/claycross/decide/fleet/board.py
@@ -113,6 +113,9 @@
             yield EVERYONE, queue[:size]
             queue = queue[size:]
 
+    def stop(self) -> None:
+        """This process will end: what it told fades, or is voided by the next one's start."""
+
     def wants(self, now: int) -> bool:
         """Whether `due` has to be asked again within a sweep, though nothing happens."""
         return bool(self.later)
--- a/claycross/decide/fleet/sums.py
+++ b/claycross/decide/fleet/sums.py
@@ -12,7 +12,8 @@
 
 A snapshot stands for all that its sender has at that slot, so one that is lost is mended by the next, and a
 new process's first voids what the old one told. A collector that has just come to its turn says so (FRESH):
-its sums are void until the others' snapshots are in, and what was told before it stands meanwhile.
+its sums are void until the others' snapshots are in, and what was told before it stands meanwhile. One
+that will end says so (LEAVING), and its turn passes on at once.
 
 A datagram is packed as in messages.py, under a mark of its own, so that a process which knows notes only
 reads ends of work it was never told of. Content: version (1 byte), kind (1), slot (1), sequence (1, going
@@ -33,7 +34,7 @@
 
 MARK = 0x3FFD  # the first word; notes count their work below it
 VERSION = 1
-SNAPSHOT, ASKING, SUMS, FRESH = range(1, 5)  # ASKING: a snapshot whose sender wants all sums
+SNAPSHOT, ASKING, SUMS, FRESH, LEAVING = range(1, 6)  # ASKING: a snapshot whose sender wants all sums
 HEAD, ENTRY, TAG = 6, 3, 2  # bytes of content
 MOST_BLAMED = 16  # tags in one datagram
 MOST = ((256 // 2 - 1) * 14 // 8 - HEAD - TAG * MOST_BLAMED) // ENTRY  # entries of one datagram
@@ -41,14 +42,15 @@
 MS = 1_000_000
 GAP = 5 * MS  # between two snapshots to one collector: each is delivered once, so they need not wait
 PERIOD = 100 * MS  # between two looks of a collector at what has changed
-KEEP, RENEW = SECOND, 2 * SECOND  # after which sums are told, and a snapshot is sent again, though unchanged
+KEEP, RENEW = 400 * MS, 2 * SECOND  # after which sums are told, and a snapshot is sent, though unchanged
 REFRESH = 8 * SECOND  # in which each sum is told again, for those that lost it
-PATIENCE = 2500 * MS  # without a word of its collector, until a slot is the next one's
+PATIENCE = 1200 * MS  # without a word of its collector, until a slot is the next one's
 MOST_SUMS = 2048  # kept of one slot
 LIFE = 5 * SECOND  # of a snapshot that is not sent again: its sender has died
-COLLECT = 500 * MS  # in its turn, until a collector has heard what the others have
-ENOUGH = {READ: 200, WRITE: 12_000}  # tokens by which a sum must have changed to be told ...
-ENOUGH_SHARE = 0.05  # ... or this share of it, if that is more
+COLLECT = 300 * MS  # in its turn, until a collector has heard what the others have
+ENOUGH_READ = 200  # tokens by which a sum of reads must have changed to be told, ...
+ENOUGH_MEMORY = 0.06  # ... and share of a writer's memory, for one of writes: what changes no choice is not
+ENOUGH_SHARE = 0.05  # ... or this share of the sum, if that is more
 VOICES = 2  # gateways that met failures at an engine, for the collector to tell of it
 TOLD_OF = 600 * MS  # for which a failure goes with each snapshot
 LAG = 0.4  # seconds by which a sum is late: what waits at the sender, the collector's look, the way
@@ -81,7 +83,9 @@
 def decode(payload: bytes) -> Said | None:
     """None for whatever is not one."""
     content = unpack(payload, MARK)
-    if content is None or len(content) < HEAD or content[0] != VERSION or not SNAPSHOT <= content[1] <= FRESH:
+    if content is None or len(content) < HEAD or content[0] != VERSION:
+        return None
+    if not SNAPSHOT <= content[1] <= LEAVING:
         return None
     reads, count = content[4], content[4] + content[5]
     end = HEAD + count * ENTRY
@@ -109,6 +113,7 @@
         self.sequence = 0
         self.asks = True  # the next snapshot wants all sums
         self.heard_sequence: dict[int, tuple[int, int]] = {}  # sender -> its last sequence, and when
+        self.heard_keys: dict[tuple[int, int], tuple[int, int]] = {}  # sum -> sequence of the last word, when
         # In this gateway's turn:
         self.began: int | None = None  # when the turn came
         self.snapshots: dict[int, tuple[int, Work]] = {}  # sender -> when, and its work
@@ -134,10 +139,11 @@
 
 class Sums(Board):
     """A large fleet's counterpart to Board, with the same questions: the collector has everyone's word on
-    failures, too, and tells of those that two gateways met."""
+    failures, too, and tells of those that two gateways met. `memory`: of a writer, tokens."""
 
-    def __init__(self, nodes: int, tag_of: Callable[[str], int], me: int):
+    def __init__(self, nodes: int, tag_of: Callable[[str], int], me: int, memory: float = 200_000):
         super().__init__(nodes, tag_of)
+        self.enough = {READ: ENOUGH_READ, WRITE: ENOUGH_MEMORY * memory}
         self.me, self.count = me, max(1, nodes // SLOT_OF)
         self.slots = [Slot(n, Turn(f"sums {n}", me, range(nodes), PATIENCE)) for n in range(self.count)]
         self.work: dict[int, tuple[int, int, float]] = {}  # request -> kind, tag, tokens
@@ -185,7 +191,10 @@
         for slot in self.slots:
             if slept > PATIENCE and slot.began is not None:
                 self.resign(slot)  # paused: what it collected is old, and another may hold the turn
+            held = slot.turn.mine
             if slot.turn.look(now):
+                if held:  # this process will end
+                    yield EVERYONE, self.message(LEAVING, slot, {})
                 self.new_holder(slot, now)
             if slot.turn.mine:
                 yield from self.collect(slot, now)
@@ -194,6 +203,11 @@
         yield from self.replies
         self.replies = []
 
+    def stop(self) -> None:
+        """This process will end: its turns pass on at once, and it takes none."""
+        for slot in self.slots:
+            slot.turn.stop()
+
     def wants(self, now: int) -> bool:
         """Whether `due` has to be asked again within a sweep, though nothing happens."""
         return self.candidate or bool(self.work) or any(s.changed for s in self.slots) or bool(
@@ -225,6 +239,7 @@
     def new_holder(self, slot: Slot, now: int) -> None:
         """Another collects now: it needs all that this gateway has, and this one all that it knows."""
         slot.asks = True
+        slot.heard_keys.clear()
         if slot.turn.mine:
             slot.began, slot.looked = now, -1 << 62
         else:
@@ -260,7 +275,7 @@
         news, old = {}, []
         for key in slot.sums.keys() | slot.shown.keys():
             size, (was, at) = slot.sums.get(key, 0.0), slot.shown.get(key, (0.0, 0))
-            if abs(size - was) >= max(ENOUGH[key[0]], ENOUGH_SHARE * was) or (was and not size):
+            if abs(size - was) >= max(self.enough[key[0]], ENOUGH_SHARE * was) or (was and not size):
                 news[key] = size
             elif key in slot.shown and now - at >= REFRESH:
                 old.append(key)
@@ -276,9 +291,14 @@
                 slot.shown[key] = (size, now)
             else:
                 slot.shown.pop(key, None)
-        keys = sorted(news)
+        for payload in self.sums_of(slot, news, unfit):
+            yield EVERYONE, payload
+
+    def sums_of(self, slot: Slot, work: Work, unfit: list[int] = ()) -> Iterator[bytes]:
+        """As many datagrams as they need."""
+        keys = sorted(work)
         for at in range(0, max(1, len(keys)), MOST):
-            yield EVERYONE, self.message(SUMS, slot, {k: news[k] for k in keys[at:at + MOST]}, unfit)
+            yield self.message(SUMS, slot, {k: work[k] for k in keys[at:at + MOST]}, unfit)
 
     def accuse(self, slot: Slot, sender: int, tag: int, at: int) -> None:
         """`sender` was failed at that engine, at that time."""
@@ -297,15 +317,19 @@
         if not 0 <= sender < self.nodes or sender == self.me or said is None or said.slot >= self.count:
             return []
         slot = self.slots[said.slot]
-        if slot.stale(sender, said.sequence, now, said.kind in (ASKING, FRESH)):
-            return []
         if said.kind in (SNAPSHOT, ASKING):
+            if slot.stale(sender, said.sequence, now, said.kind == ASKING):
+                return []
             slot.snapshots[sender] = (now, {key: float(from_scale(size)) for key, size in said.work.items()})
             for tag in said.blamed:
                 self.accuse(slot, sender, tag, now)
             if said.kind == ASKING and slot.knows(now):
-                keys = sorted(slot.shown)[:MOST]
-                self.replies.append((sender, self.message(SUMS, slot, {k: slot.shown[k][0] for k in keys})))
+                self.replies += ((sender, payload) for payload in self.sums_of(
+                    slot, {key: size for key, (size, _) in slot.shown.items()}))
+            return []
+        if said.kind == LEAVING:
+            if slot.turn.left(sender, now):
+                self.new_holder(slot, now)
             return []
         if slot.turn.heard(sender, now):
             self.new_holder(slot, now)
@@ -314,6 +338,11 @@
         self.heard = slot.heard = now
         if said.kind == SUMS:
             for key, size in said.work.items():
+                last, at = slot.heard_keys.get(key, (0, -1 << 62))
+                if now - at < 2 * SECOND and (said.sequence - last) % 256 > 128:
+                    continue  # a later word on it came before this one
+                if key in slot.heard_keys or len(slot.heard_keys) < 2 * MOST_SUMS:
+                    slot.heard_keys[key] = (said.sequence, now)
                 if size and len(slot.sums) < MOST_SUMS:
                     slot.sums[key] = float(from_scale(size))
                 else:
@@ -329,8 +358,8 @@
         for slot in self.slots:
             if now - slot.heard > LIFE:
                 slot.sums = {}
-            if not slot.turn.mine:
-                slot.snapshots = {n: s for n, s in slot.snapshots.items() if now - s[0] <= LIFE}
+            slot.heard_keys = {key: found for key, found in slot.heard_keys.items() if now - found[1] <= LIFE}
+            slot.snapshots = {n: s for n, s in slot.snapshots.items() if now - s[0] <= LIFE}
             slot.accused = {tag: found for tag, found in slot.accused.items()
                             if now - max(found.values()) <= BAD_LIFE * SECOND}
             slot.heard_sequence = {n: s for n, s in slot.heard_sequence.items() if now - s[1] <= LIFE}
--- a/claycross/decide/fleet/turns.py
+++ b/claycross/decide/fleet/turns.py
@@ -32,6 +32,7 @@
 
     def __init__(self, job: str, me: int, gateways: range | tuple[int, ...], patience: int):
         self.order, self.me, self.patience = order(job, gateways), me, patience
+        self.own = self.order.index(me) if me in self.order else None  # this gateway's place
         self.place = 0  # of the holder in the order
         self.since: int | None = None  # when it was last heard, or given its turn; None: never looked at
         self.heard_at: dict[int, int] = {}  # place -> when it was heard
@@ -45,26 +46,49 @@
     def mine(self) -> bool:
         return self.holder == self.me
 
+    def stop(self) -> None:
+        """This gateway will hold no turn any more."""
+        self.own = None
+
     def heard(self, sender: int, now: int) -> bool:
-        """`sender` does the job. True: it is now taken for the holder and was not before."""
+        """`sender` does the job. True: another is taken for the holder now: the sender, or this gateway,
+        where it stands before the sender and nobody earlier was heard."""
         if sender not in self.order:
             return False
         place = self.order.index(sender)
         self.heard_at[place] = now
-        if place > self.place and self.since is not None and now - self.since <= self.patience:
+        if place > self.place and self.since is not None and (self.mine or now - self.since <= self.patience):
             return False  # a later one that does not know yet of an earlier one
+        if self.own is not None and self.own < place:
+            place = self.own
         changed, self.place, self.since = place != self.place, place, now
         return changed
 
-    def look(self, now: int) -> bool:
-        """Passes the turn on from a holder that has been silent for too long. True: another holds it now."""
-        if self.mine or self.since is None:
-            self.since = now
-            return False
-        if now - self.since <= self.patience:
+    def left(self, sender: int, now: int) -> bool:
+        """`sender` will do the job no more. True: another is taken for the holder now."""
+        if sender in self.order:
+            self.heard_at.pop(self.order.index(sender), None)
+        if sender != self.holder:
             return False
+        self.pass_on(now)
+        return True
+
+    def pass_on(self, now: int) -> None:
+        """To the first of the others that was heard of late, to this gateway if it stands before that one,
+        or, where nobody was heard, to the next in the order."""
         fresh = [place for place, at in self.heard_at.items()
                  if now - at <= self.patience and place != self.place]
+        if fresh and self.own is not None:
+            fresh.append(self.own)
         self.place = min(fresh, default=(self.place + 1) % len(self.order))
         self.since = now
+
+    def look(self, now: int) -> bool:
+        """Passes the turn on from a holder that has been silent for too long. True: another holds it now."""
+        if self.since is None or self.mine and self.own is not None:
+            self.since = now
+            return False
+        if not self.mine and now - self.since <= self.patience:
+            return False
+        self.pass_on(now)
         return True
--- a/claycross/interface.py
+++ b/claycross/interface.py
@@ -178,6 +178,11 @@
     report: LoadReport | None = None
 
 
+@dataclass(slots=True)
+class Stopping:
+    """This process was told to end; what it has it may still finish."""
+
+
 @dataclass(slots=True)
 class Heard:
     """A short message from another gateway; late, repeated or never."""
@@ -186,7 +191,8 @@
     payload: bytes
 
 
-Event = EngineList | Arrival | StreamBegan | Outcome | Reserved | Abandoned | TimerDue | ProbeResult | Heard
+Event = (EngineList | Arrival | StreamBegan | Outcome | Reserved | Abandoned | TimerDue | ProbeResult | Heard
+         | Stopping)
 
 # ---------------------------------------------------------------- actions
 
--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -17,7 +17,8 @@
 from .decide.fleet.sums import Sums
 from .interface import (
     Abandoned, Action, Arrival, Cancel, ClassSpec, EngineEntry, EngineList, Event, Fail, Heard, LoadReport,
-    Log, Outcome, Refuse, Release, Send, SetTimer, Settings, StreamBegan, Subscribe, Tell, TimerDue)
+    Log, Outcome, Refuse, Release, Send, SetTimer, Settings, Stopping, StreamBegan, Subscribe, Tell,
+    TimerDue)
 
 MS, SECOND = 1_000_000, 1_000_000_000
 
@@ -339,8 +340,9 @@
         self.admission = Admission(settings)
         self.tells = settings.peers and settings.nodes > 1
         tag_of = lambda engine: int(rank("tag", engine) * 65536)  # noqa: E731
-        self.board = (Sums(settings.nodes, tag_of, settings.me) if self.tells and settings.nodes > ALL_TELL
-                      else Board(settings.nodes, tag_of))
+        memory = min((m for kind, m in settings.memory.items() if settings.roles[kind] != "read"), default=0)
+        self.board = (Sums(settings.nodes, tag_of, settings.me, memory) if self.tells and
+                      settings.nodes > ALL_TELL else Board(settings.nodes, tag_of))
         if self.tells:
             self.health.blames = self.board.blames
         self.requests: dict[int, Request] = {}
@@ -352,7 +354,7 @@
         self.logged: dict[str, int] = {}
         self.handlers = {Outcome: self.on_outcome, Arrival: self.on_arrival, StreamBegan: self.on_began,
                          TimerDue: self.on_timer, Abandoned: self.on_abandoned, EngineList: self.on_list,
-                         Heard: self.on_heard}
+                         Heard: self.on_heard, Stopping: lambda _: self.board.stop()}
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         self.now, self.acts = now, [] if self.started or not self.s.ask_for_list else [Subscribe()]
