Sums by turns also where an operator wants them: [sums] above in the cooperation file, and a drill

Need: the sums among many gateways are shown by real processes with faults between them, and no machine here holds more than forty of those.

Change: Settings.sums_above (40 by default), set by [sums] above of the cooperation file; log lines 'policy sums slot=S collector=N mine=B' at each change of the collector. tests/test_drill.py: five processes, of which the collector is killed, the next one paused and woken, the first started again and told to stop: the audit holds, every other gateway follows each change, within 1.5 s of each other.

--- a/claycross/__main__.py
+++ b/claycross/__main__.py
@@ -76,6 +76,8 @@
     def __init__(self, config: Config, embeddings: Embeddings | None = None, admin: Admin | None = None,
                  etcd: EtcdSource | None = None, http2: Http2Options | None = None,
                  cooperation: Cooperation | None = None):
+        if cooperation:
+            config = replace(config, settings=replace(config.settings, sums_above=cooperation.sums.above))
         self.config, self.loop, self.http2 = config, Loop(), http2
         self.reread: Callable[[], tuple[Config, Address]] | None = None  # the files anew, and whom to watch
         self.stopping, self.peers = False, None
--- a/claycross/decide/fleet/board.py
+++ b/claycross/decide/fleet/board.py
@@ -15,7 +15,7 @@
 import math
 from collections.abc import Callable, Iterator
 
-from ...interface import EVERYONE
+from ...interface import ALL_TELL, EVERYONE
 
 OVER, READ, WRITE, BAD = range(4)
 FORGET = 0x3FFF  # as number: the sender has just started
@@ -25,7 +25,6 @@
 SECOND = 1_000_000_000
 OUTSTANDING = 2048  # notes kept of one sender
 PATIENCE = 300_000_000  # for which the word of an end waits for other notes to go with
-ALL_TELL = 40  # gateways up to which each tells all others of its work; among more: sums.py (docs/choices.md)
 
 Note = tuple[int, int, int, int]  # kind, number, engine's tag, size in tokens
 
@@ -72,6 +71,7 @@
         self.sums: dict[tuple[int, int], float] = {}  # kind and tag -> tokens
         self.blamed: dict[int, dict[int, int]] = {}  # tag -> sender -> when
         self.heard = -1 << 62
+        self.news: list[str] = []  # for the log
         self.last, self.mine = 0, dict[int, int]()  # request -> number
         self.queue, self.later, self.since = bytearray(encode(OVER, FORGET)), bytearray(), 0
 
--- a/claycross/decide/fleet/sums.py
+++ b/claycross/decide/fleet/sums.py
@@ -240,6 +240,7 @@
         """Another collects now: it needs all that this gateway has, and this one all that it knows."""
         slot.asks = True
         slot.heard_keys.clear()
+        self.news.append(f"sums slot={slot.number} collector={slot.turn.holder} mine={slot.turn.mine}")
         if slot.turn.mine:
             slot.began, slot.looked = now, -1 << 62
         else:
@@ -370,6 +371,11 @@
         slot = self.slot(tag)
         return max(0.0, slot.sums.get((kind, tag), 0.0) - slot.told.get((kind, tag), 0.0))
 
+    def live(self, now: int) -> bool:
+        """Always: where no sums are heard an engine has room until it says that it is full. One's own streams
+        times the gateways, taken for its load, made one stream look like two hundred."""
+        return True
+
     def unseen(self, rate: float, engines: int) -> float:
         """Sends by the fleet that no sum shows yet, for each of so many engines, at this gateway's arrivals a
         nanosecond taken for the others' too: choices that are as late must not all fall alike."""
--- a/claycross/interface.py
+++ b/claycross/interface.py
@@ -9,6 +9,8 @@
 
 # ---------------------------------------------------------------- settings
 
+ALL_TELL = 40  # gateways up to which each tells all others of its work; among more: docs/choices.md
+
 
 @dataclass(slots=True)
 class ClassSpec:
@@ -56,6 +58,7 @@
     may_probe: bool = False
     may_reserve: bool = False
     peers: bool = False  # gateways may send each other short messages
+    sums_above: int = ALL_TELL  # gateways; among more of them one collects what all have in hand
     hints_hold_off: bool = False
     max_hold_off: int = 0
     idle_close: int = 0  # an unused connection closes after this
--- a/claycross/options.py
+++ b/claycross/options.py
@@ -12,6 +12,7 @@
 
 from .decide.fleet.members import Spec
 from .decide.streams import MS, SECOND, Bounds
+from .interface import ALL_TELL
 from .settings import BadSettings, read_toml
 
 T = TypeVar("T")
@@ -71,10 +72,18 @@
                     self.cut_after_ms * MS, tuple(key.encode() for key in self.keys))
 
 
+class SumsTable(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
+    """`[sums]`: what the others have in hand."""
+
+    # gateways; among more of them one collects what all have in hand, among fewer each tells all others
+    above: Annotated[int, msgspec.Meta(ge=1, le=4096)] = ALL_TELL
+
+
 class Cooperation(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
     """`deploy/cooperation.toml`: what gateways do together, a table for each part; docs/fleet.md."""
 
     members: MembersTable = MembersTable()
+    sums: SumsTable = SumsTable()
 
 
 def read(path: str, form: type[T]) -> T:
--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -13,7 +13,7 @@
 from statistics import median
 from typing import Any
 
-from .decide.fleet.board import ALL_TELL, READ, WRITE, Board
+from .decide.fleet.board import READ, WRITE, Board
 from .decide.fleet.sums import Sums
 from .interface import (
     Abandoned, Action, Arrival, Cancel, ClassSpec, EngineEntry, EngineList, Event, Fail, Heard, LoadReport,
@@ -342,7 +342,7 @@
         tag_of = lambda engine: int(rank("tag", engine) * 65536)  # noqa: E731
         memory = min((m for kind, m in settings.memory.items() if settings.roles[kind] != "read"), default=0)
         self.board = (Sums(settings.nodes, tag_of, settings.me, memory) if self.tells and
-                      settings.nodes > ALL_TELL else Board(settings.nodes, tag_of))
+                      settings.nodes > settings.sums_above else Board(settings.nodes, tag_of))
         if self.tells:
             self.health.blames = self.board.blames
         self.requests: dict[int, Request] = {}
@@ -366,6 +366,8 @@
         self.arm()
         if self.tells:
             self.acts += (Tell(payload, to) for to, payload in self.board.due(self.now))
+            self.acts += map(Log, self.board.news)
+            self.board.news.clear()
         return self.acts
 
     def on_list(self, event: EngineList) -> None:
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from claycross.decide.fleet.turns import order
 from claycross.emulator.drill import Answer, DrillFile, Trouble, drill, judge
 from claycross.options import Cooperation, read
 from claycross.settings import BadSettings
@@ -27,10 +28,11 @@
 @pytest.fixture
 def play(tmp_path, capsys):
     """Runs a drill of that many gateways and seconds; its report."""
-    def run(gateways, seconds, *troubles, plain=False):
-        path, out = tmp_path / "d.toml", tmp_path / "d.json"
+    def run(gateways, seconds, *troubles, plain=False, sums_above=40):
+        path, out, together = tmp_path / "d.toml", tmp_path / "d.json", tmp_path / "c.toml"
         path.write_text(HEAD.format(gateways, seconds) + "".join(troubles))
-        held = drill(str(path), 0, 0, plain, str(out), "", str(ROOT / "deploy" / "cooperation.toml"))
+        together.write_text(f"[sums]\nabove = {sums_above}\n")
+        held = drill(str(path), 0, 0, plain, str(out), "", str(together))
         report = json.loads(out.read_text())
         assert held == report["holds"]
         assert held, (report["broken"], report["answers"], capsys.readouterr().out[-2000:])
@@ -90,6 +92,25 @@
     assert not [x for x in changes(report, "state=gone was=suspect")]
 
 
+def test_a_collector_that_is_killed_paused_and_stopped_is_followed_by_the_next(play):
+    """Five gateways of which one collects what all have in hand: it is killed, the next is paused and woken,
+    the first starts again and is told to stop. Nothing is lost by it, and all agree at the end."""
+    first, second, *_ = order("sums 0", range(5))
+    report = play(5, 20, trouble(at_s=2, do="kill", gateways=[first]),
+                  trouble(at_s=5, do="pause", gateways=[second], for_s=4),
+                  trouble(at_s=11, do="start", gateways=[first]),
+                  trouble(at_s=14, do="restart", gateways=[first]), sums_above=2)
+    said = [(float(m[1]), m[2], int(m[3])) for line in report["members"]
+            if (m := re.match(r"(\S+) (\S+) .*sums slot=0 collector=(\d+)", line))]
+    others = {f"g{n}" for n in range(5)} - {f"g{first}", f"g{second}"}
+    for g in others:
+        held = [collector for _, who, collector in said if who == g]
+        assert held[:2] == [second, order("sums 0", range(5))[2]], held  # killed; paused
+        assert held[2] == second and first in held[3:] and held[-1] == first, held
+    passed = [min(at for at, who, c in said if who == g and c == second) for g in others]
+    assert max(passed) - min(passed) < 1.5
+
+
 def test_the_same_without_cooperation_says_nothing_of_members(play):
     assert not play(3, 4, plain=True)["members"]
 
@@ -157,6 +178,7 @@
     ('[members]\nkeys = ["short"]\n', "keys"),
     ("[members]\nsuspicion = 'long'\n", "suspicion"),
     ("members = 3\n", "members"),
+    ("[sums]\nabove = 0\n", "above"),
 ])
 def test_what_is_wrong_in_the_file_of_cooperation_is_named(tmp_path, text, named):
     path = tmp_path / "c.toml"
