--- a/tests/test_letgo.py
+++ b/tests/test_letgo.py
@@ -171,5 +171,5 @@
     with s.client() as c:
         chat(c, key="dd01")
         threading.Event().wait(0.3)
-    eventually(lambda: "other" in times)
+    eventually(lambda: {"holder", "other"} <= times.keys())  # asked at the same time: either may be first
     assert times["other"] - times["holder"] < 0.35
