Sums and blur read once more: one serial-number order, one reset, one network in tests

Found in a last reading, behaviour as before: - sums.py compared sequences by a formula of its own, twice: messages.newer does it now, for any range; the size of a datagram's content stands once, in messages.py; - the reset of a slot was written twice (Slot.begin_anew); state that nobody read is gone (Sums.heard, SECOND in turns.py, replies in wants: they go out in the same round); - the blur of costs was written twice in policy.py (Router.blur), and the engine's tag as a lambda, copied in a test; - a kind with memory but no role ended the start with a KeyError; - the two simulations of the tests have one network (tests/crowd.py, Net).

--- a/claycross/decide/fleet/messages.py
+++ b/claycross/decide/fleet/messages.py
@@ -25,7 +25,8 @@
 VERSION = 1
 LARGEST = 256  # bytes of a datagram
 HEAD, CLAIM, SEAL = 12, 6, 8  # bytes of content
-MOST_CLAIMS = ((LARGEST // 2 - 1) * 14 // 8 - HEAD - SEAL) // CLAIM
+CONTENT = (LARGEST // 2 - 1) * 14 // 8  # bytes of content that a datagram takes, behind its mark
+MOST_CLAIMS = (CONTENT - HEAD - SEAL) // CLAIM
 SERIAL = 1 << 24  # incarnations and what they wrap round at
 NOBODY = 0xFFFF  # as subject
 PING, ACK, ASK, HEARD, JOIN, TABLE, STOP = range(1, 8)
@@ -54,9 +55,10 @@
     claims: list[Claim] = field(default_factory=list)
 
 
-def newer(a: int, b: int) -> bool:
-    """Whether incarnation a comes after b, on a scale that goes round (RFC 1982's serial numbers)."""
-    return a != b and (a - b) % SERIAL < SERIAL // 2
+def newer(a: int, b: int, around: int = SERIAL) -> bool:
+    """Whether number a comes after b, on a scale that goes round (RFC 1982's serial numbers): incarnations,
+    where nothing else is said."""
+    return a != b and (a - b) % around < around // 2
 
 
 def tenths(left: int | None) -> int:
--- a/claycross/decide/fleet/sums.py
+++ b/claycross/decide/fleet/sums.py
@@ -29,7 +29,7 @@
 
 from ...interface import EVERYONE
 from .board import BAD_LIFE, READ, SECOND, WRITE, Board, from_scale, to_scale
-from .messages import pack, unpack
+from .messages import CONTENT, newer, pack, unpack
 from .turns import Turn
 
 MARK = 0x3FFD  # the first word; notes count their work below it
@@ -37,7 +37,7 @@
 SNAPSHOT, ASKING, SUMS, FRESH, LEAVING = range(1, 6)  # ASKING: a snapshot whose sender wants all sums
 HEAD, ENTRY, TAG = 6, 3, 2  # bytes of content
 MOST_BLAMED = 16  # tags in one datagram
-MOST = ((256 // 2 - 1) * 14 // 8 - HEAD - TAG * MOST_BLAMED) // ENTRY  # entries of one datagram
+MOST = (CONTENT - HEAD - TAG * MOST_BLAMED) // ENTRY  # entries of one datagram
 SLOT_OF = 200  # gateways for each slot: a collector then hears about as much in a fleet of any size
 MS = 1_000_000
 GAP = 5 * MS  # between two snapshots to one collector: each is delivered once, so they need not wait
@@ -46,6 +46,7 @@
 REFRESH = 8 * SECOND  # in which each sum is told again, for those that lost it
 PATIENCE = 1200 * MS  # without a word of its collector, until a slot is the next one's
 MOST_SUMS = 2048  # kept of one slot
+SEQUENCES, OVERTAKES = 256, 2 * SECOND  # numbers until they go round; for which one can overtake another
 LIFE = 5 * SECOND  # of a snapshot that is not sent again: its sender has died
 COLLECT = 300 * MS  # in its turn, until a collector has heard what the others have
 ENOUGH_READ = 200  # tokens by which a sum of reads must have changed to be told, ...
@@ -100,6 +101,11 @@
     return Said(content[1], content[2], content[3], work, tuple(blamed))
 
 
+def overtaken(sequence: int, now: int, last: int, at: int) -> bool:
+    """Whether a word of that number comes behind the later one that came at `at`."""
+    return now - at < OVERTAKES and newer(last, sequence, SEQUENCES)
+
+
 class Slot:
     """One slot as this gateway sees it: who collects, what it told, what this one collects in its turn."""
 
@@ -131,12 +137,16 @@
         """Whether it was overtaken by a later one of the same sender, or is that one again. `anew`: it begins
         its numbers wherever it likes, as a new process does."""
         last, at = self.heard_sequence.get(sender, (None, 0))
-        if not anew and last is not None and now - at < 2 * SECOND and (sequence - last) % 256 > 128 or (
-                not anew and sequence == last):
+        if last is not None and not anew and (sequence == last or overtaken(sequence, now, last, at)):
             return True
         self.heard_sequence[sender] = (sequence, now)
         return False
 
+    def begin_anew(self) -> None:
+        """Who collects begins with nothing: it needs all that this gateway has, and tells all there is."""
+        self.asks = self.anew = True
+        self.heard_keys.clear()
+
 
 class Sums(Board):
     """A large fleet's counterpart to Board, with the same questions: the collector has everyone's word on
@@ -211,8 +221,7 @@
 
     def wants(self, now: int) -> bool:
         """Whether `due` has to be asked again within a sweep, though nothing happens."""
-        return self.candidate or bool(self.work) or any(s.changed for s in self.slots) or bool(
-            self.replies)
+        return self.candidate or bool(self.work) or any(s.changed for s in self.slots)
 
     def snapshot_due(self, slot: Slot, now: int) -> bool:
         if slot.asks or slot.changed:
@@ -231,16 +240,15 @@
         return sorted(found, key=lambda tag: -self.failed[tag])
 
     def message(self, kind: int, slot: Slot, work: Work, blamed: list[int] = ()) -> bytes:
-        slot.sequence = (slot.sequence + 1) % 256
+        slot.sequence = (slot.sequence + 1) % SEQUENCES
         largest = sorted(work.items(), key=lambda item: -item[1])[:MOST]
         reads, writes = ([(tag, to_scale(size)) for (k, tag), size in largest if k == of]
                          for of in (READ, WRITE))
         return encode(kind, slot.number, slot.sequence, reads, writes, blamed)
 
     def new_holder(self, slot: Slot, now: int) -> None:
-        """Another collects now: it needs all that this gateway has, and this one all that it knows."""
-        slot.asks = slot.anew = True
-        slot.heard_keys.clear()
+        """Another collects now."""
+        slot.begin_anew()
         self.news.append(f"sums slot={slot.number} collector={slot.turn.holder} mine={slot.turn.mine}")
         if slot.turn.mine:
             slot.began, slot.looked = now, -1 << 62
@@ -337,17 +345,16 @@
             self.new_holder(slot, now)
         if slot.turn.holder != sender:
             return []
-        self.heard = slot.heard = now
+        slot.heard = now
         if said.kind == FRESH and not slot.anew:  # a new process, or one that was paused, in its own turn
-            slot.asks = slot.anew = True
-            slot.heard_keys.clear()
+            slot.begin_anew()
         if said.kind == SUMS:
             if slot.anew:
                 slot.anew = False
                 slot.sums.clear()
             for key, size in said.work.items():
                 last, at = slot.heard_keys.get(key, (0, -1 << 62))
-                if now - at < 2 * SECOND and (said.sequence - last) % 256 > 128:
+                if overtaken(said.sequence, now, last, at):
                     continue  # a later word on it came before this one
                 if key in slot.heard_keys or len(slot.heard_keys) < 2 * MOST_SUMS:
                     slot.heard_keys[key] = (said.sequence, now)
--- a/claycross/decide/fleet/turns.py
+++ b/claycross/decide/fleet/turns.py
@@ -16,7 +16,6 @@
 import hashlib
 
 CANDIDATES = 8  # for one job, at most: beyond them nobody takes it over
-SECOND = 1_000_000_000
 
 
 def order(job: str, gateways: range | tuple[int, ...], most: int = CANDIDATES) -> tuple[int, ...]:
--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -109,6 +109,11 @@
     return int(hashlib.blake2b(f"{key}|{engine}".encode(), digest_size=6).hexdigest(), 16) / 2 ** 48
 
 
+def tag(engine: str) -> int:
+    """The 16 bits by which nodes speak of an engine."""
+    return int(rank("tag", engine) * 65536)
+
+
 class PrefixTable:
     """Which readers got each prefix, and each session's last reader and prompt length."""
 
@@ -339,10 +344,9 @@
         self.health = EngineHealth(settings, self.rng)
         self.admission = Admission(settings)
         self.tells = settings.peers and settings.nodes > 1
-        tag_of = lambda engine: int(rank("tag", engine) * 65536)  # noqa: E731
-        memory = min((m for kind, m in settings.memory.items() if settings.roles[kind] != "read"), default=0)
-        self.board = (Sums(settings.nodes, tag_of, settings.me, memory) if self.tells and
-                      settings.nodes > settings.sums_above else Board(settings.nodes, tag_of))
+        memory = min((m for k, m in settings.memory.items() if settings.roles.get(k) != "read"), default=0)
+        self.board = (Sums(settings.nodes, tag, settings.me, memory) if self.tells and
+                      settings.nodes > settings.sums_above else Board(settings.nodes, tag))
         if self.tells:
             self.health.blames = self.board.blames
         self.requests: dict[int, Request] = {}
@@ -399,8 +403,8 @@
         """Others' failures count with this node's own. Guards each of many nodes against finding out for
         itself about an engine that fails fast, whose emptiness draws requests; it could spread a false alarm,
         so it takes two voices, and only failures are told, never slowness, which is mostly load."""
-        for tag in self.board.hear(self.now, event.peer, event.payload):
-            for e in [e for e in self.health.engines.values() if self.board.tag(e.id) == tag]:
+        for found in self.board.hear(self.now, event.peer, event.payload):
+            for e in [e for e in self.health.engines.values() if self.board.tag(e.id) == found]:
                 if self.board.blamers(e.id, self.now) + min(1, e.fails) >= BLAMERS:
                     self.health.eject(e, self.now)
 
@@ -678,7 +682,7 @@
             share = e.report.memory_share if e.report else None
             eviction = self.table.credit.get(e.id, 0) * (MEMORY_UNKNOWN if share is None else share)
             running = (event.prompt - likely[e.id]) * self.health.slowness(e)
-            running *= 1 + BLUR * self.unseen(e.role) * rank(str(r.id), e.id) if self.unseen(e.role) else 1
+            running *= 1 + self.blur(r, e)
             return loads[e.id] + EVICTION_WEIGHT * eviction + running
         chosen = min(readers, key=lambda e: (cost(e), -rank(event.session or str(r.id), e.id)))
         if holders:
@@ -695,12 +699,13 @@
         share = e.report.memory_share if e.report else None
         return sum(e.streams.values()) + (self.board.others(WRITE, e.id) or (share or 0.0) * e.memory)
 
-    def unseen(self, role: str) -> float:
-        """Sends to each engine of the role that no node knows of yet. Departure: costs are blurred by so
-        much. Guards against nodes whose sums are as late and that all choose the engine which looked best a
-        moment ago; it could choose a little worse, by what may have come there meanwhile."""
-        return self.health.once("unseen", role, lambda: self.board.unseen(
-            self.health.rate("", self.now), len(self.health.peers(role))))
+    def blur(self, r: Request, e: Engine) -> float:
+        """Up to BLUR times the sends to each engine of the role that no node knows of yet. Departure: costs
+        are blurred by so much. Guards against nodes whose sums are as late and that all choose the engine
+        which looked best a moment ago; it could choose a little worse, by what may have come meanwhile."""
+        unseen = self.health.once("unseen", e.role, lambda: self.board.unseen(
+            self.health.rate("", self.now), len(self.health.peers(e.role))))
+        return BLUR * unseen * rank(str(r.id), e.id) if unseen else 0.0
 
     def sharing(self) -> int:
         """Nodes among which room must be divided: none has to stay for those whose work is known."""
@@ -740,8 +745,8 @@
 
         def fullness(e: Engine) -> float:
             far = OTHER_CELL * (cell not in (None, e.entry.cell)) + OTHER_ZONE * (e.entry.zone != zone)
-            come = BLUR * self.unseen(e.role) * rank(str(r.id), e.id) * r.need if self.unseen(e.role) else 0.0
-            return (self.projected(e) + come) / max(1, e.memory) * self.health.slowness(e) + far
+            likely = self.projected(e) + self.blur(r, e) * r.need
+            return likely / max(1, e.memory) * self.health.slowness(e) + far
         return min(fit, key=lambda e: (fullness(e), -rank(str(r.id), e.id)), default=None)
 
     def held_long(self, r: Request) -> bool:  # rule 5: what is held must be let go before long
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -10,16 +10,38 @@
 from claycross.decide.fleet.messages import SERVING
 
 
-class Crowd:
-    """`cut(a, b)`: whether what a sends to b is lost. Each member reads a clock of its own, `skew` apart."""
+class Net:
+    """Virtual time, and datagrams between `size` parties. `cut(a, b)`: whether what a sends to b is lost."""
 
-    def __init__(self, size, seed=1, loss=0.0, doubled=0.0, late=5 * MS, skew=0, zones=3, spec=None,
-                 together=False, kind=Members):
+    def __init__(self, size, seed, loss, doubled, late):
         self.draw, self.size, self.late = random.Random(seed), size, late
         self.loss, self.doubled = loss, doubled
-        self.spec, self.zones, self.kind = spec, zones, kind
         self.now, self.order, self.events = 1_000 * SECOND, count(), []
         self.cut = lambda a, b: False
+
+    def push(self, at, *event):
+        heapq.heappush(self.events, (at, next(self.order), event))
+
+    def pop(self):
+        """The next event, at whose time it is then."""
+        self.now, _, event = heapq.heappop(self.events)
+        return event
+
+    def send(self, sender, to, payload):
+        for n in range(self.size) if to == EVERYONE else [to]:
+            if n == sender or self.cut(sender, n) or self.draw.random() < self.loss:
+                continue
+            for _ in range(1 + (self.draw.random() < self.doubled)):
+                self.push(self.now + self.draw.randrange(MS, self.late + 1), "hear", n, sender, payload)
+
+
+class Crowd(Net):
+    """Each member reads a clock of its own, `skew` apart."""
+
+    def __init__(self, size, seed=1, loss=0.0, doubled=0.0, late=5 * MS, skew=0, zones=3, spec=None,
+                 together=False, kind=Members):
+        super().__init__(size, seed, loss, doubled, late)
+        self.spec, self.zones, self.kind = spec, zones, kind
         self.skew = [self.draw.randrange(-skew, skew + 1) if skew else 0 for _ in range(size)]
         self.members: list[Members | None] = [None] * size
         self.asleep: dict[int, list] = {}
@@ -34,9 +56,6 @@
     def clock(self, n):
         return self.now + self.skew[n]
 
-    def push(self, at, *event):
-        heapq.heappush(self.events, (at, next(self.order), event))
-
     def start(self, n, at=None, incarnation=None):
         """A new process of that number; the one before, if any, is killed."""
         self.members[n] = None
@@ -60,17 +79,10 @@
         self.armed[n] += 1
         self.push(self.now + wait, "due", n, self.armed[n])
 
-    def send(self, sender, to, payload):
-        for n in range(self.size) if to == EVERYONE else [to]:
-            if n == sender or self.cut(sender, n) or self.draw.random() < self.loss:
-                continue
-            for _ in range(1 + (self.draw.random() < self.doubled)):
-                self.push(self.now + self.draw.randrange(MS, self.late + 1), "hear", n, sender, payload)
-
     def run(self, span):
         until = self.now + span
         while self.events and self.events[0][0] <= until:
-            self.now, _, (what, n, *rest) = heapq.heappop(self.events)
+            what, n, *rest = self.pop()
             if what == "start":
                 self.starts[n] += 1
                 incarnation = rest[0] if rest[0] is not None else self.clock(n) // (10 * MS)
--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import heapq
 import random
-from itertools import count
 
 import pytest
 from hypothesis import given, settings
@@ -18,27 +16,23 @@
     encode)
 from claycross.decide.fleet.turns import CANDIDATES, Turn, order
 from claycross.interface import EVERYONE
-from claycross.policy import rank
+from claycross.policy import tag as tag_of
+from tests.crowd import Net
 
 MS, SECOND = 1_000_000, 1_000_000_000
 LOOK = 100 * MS  # between two sweeps of a gateway that has something open
 
 
-def tag_of(engine):
-    return int(rank("tag", engine) * 65536)
-
-
-class Crowd:
+class Crowd(Net):
     """Gateways of which each has requests at random engines, and datagrams between them."""
 
     def __init__(self, size, engines=0, rate=1.0, loss=0.0, doubled=0.0, seed=1, late=10 * MS, kind=Sums):
-        self.draw, self.size, self.rate, self.kind = random.Random(seed), size, rate, kind
-        self.loss, self.doubled, self.late = loss, doubled, late
+        super().__init__(size, seed, loss, doubled, late)
+        self.rate, self.kind = rate, kind
         self.engines = [f"s-{n:x}" for n in range(engines or size // 2)]
-        self.now, self.next, self.events = 1000 * SECOND, count(), []
         self.boards: list[Sums | None] = [None] * size
         self.epoch = [0] * size
-        self.asleep, self.cut = set(), lambda a, b: False
+        self.asleep = set()
         self.true: dict[int, dict[int, tuple[int, str, float]]] = {n: {} for n in range(size)}
         self.requests = self.bytes = self.datagrams = 0
         self.watch = lambda n, to, payload: None
@@ -46,9 +40,6 @@
         for n in range(size):
             self.start(n)
 
-    def push(self, at, *event):
-        heapq.heappush(self.events, (at, next(self.next), event))
-
     def start(self, n):
         self.boards[n] = self.kind(self.size, tag_of, n, 60_000)
         self.epoch[n] += 1
@@ -71,20 +62,15 @@
         for to, payload in self.boards[n].due(self.now):
             assert len(payload) <= LARGEST
             self.watch(n, to, payload)
-            for other in range(self.size) if to == EVERYONE else [to]:
-                if other == n:
-                    continue
-                self.bytes += len(payload)
-                self.datagrams += 1
-                if self.cut(n, other) or self.draw.random() < self.loss:
-                    continue
-                for _ in range(1 + (self.draw.random() < self.doubled)):
-                    self.push(self.now + self.draw.randrange(MS, self.late + 1), "hear", other, n, payload)
+            meant_for = self.size - 1 if to == EVERYONE else 1
+            self.bytes += meant_for * len(payload)
+            self.datagrams += meant_for
+            self.send(n, to, payload)
 
     def run(self, span):
         until = self.now + span
         while self.events and self.events[0][0] <= until:
-            self.now, _, (what, n, *rest) = heapq.heappop(self.events)
+            what, n, *rest = self.pop()
             board = self.boards[n]
             if what == "hear":
                 if board is not None and n not in self.asleep:
