Busy homes keep their prefixes, late work goes to idle readers, cuts spoil no estimates

Gateway n0 refused 56 of 101 for 20 s: it foretold 7.2 s for a read of 0.7 s, and used 7 of 90 readers.

--- a/claycross/core.py
+++ b/claycross/core.py
@@ -76,10 +76,10 @@
 class Attempt:
     """One attempt: connecting, sent, streaming, over. Core.settle() alone ends it."""
 
-    def __init__(self, request: Request, n: int, engine: str, reads: bool, sent: int, timeout: int,
-                 until: int = 0):
-        self.request, self.n, self.engine, self.reads = request, n, engine, reads
-        self.sent, self.timeout, self.until = sent, timeout, until
+    def __init__(self, request: Request, n: int, reads: bool, sent: int, timeout: int, action: i.Send):
+        self.request, self.n, self.engine, self.reads = request, n, action.engine, reads
+        self.sent, self.timeout, self.until = sent, timeout, action.until
+        self.expected, self.claimed = action.expected, action.claimed  # as the module foretold, for the log
         self.timer: Any = None
         self.over = self.began = False
         self.call: Callable[[], bool] | None = None  # ends it; False: it never ran
@@ -133,7 +133,12 @@
         if self.trace:
             self.trace(f"ended request={r.key} how={how} class={r.name} prompt={r.prompt} "
                        f"tries={len(r.attempts)} ms={(self.clock.now() - r.came) / MS:.1f} "
-                       f"began_ms={r.began / MS:.1f}")
+                       f"began_ms={r.began / MS:.1f} aim_ms={self.aim(r) / MS:.1f}")
+
+    def aim(self, r: Request) -> int:
+        """Time within which the first token is wanted."""
+        spec = self.settings.classes.get(r.name)
+        return int(spec.aim + spec.aim_per_token * r.prompt) if spec else 0
 
     def check(self) -> None:
         """What the module believes to be in flight at each engine, against the attempts that are. (The other
@@ -182,6 +187,10 @@
         self.open[r.number] = r
         self.keys[key] = r.number
         self.count("asked")
+        if self.trace:
+            self.trace(f"arrived request={key} class={r.name} session={arrival.session} "
+                       f"prefix={arrival.prefix} prefix_tokens={arrival.prefix_tokens} prompt={r.prompt} "
+                       f"left_ms={arrival.left / MS:.1f} repeat={arrival.repeat}")
         if self.confirmed and (wait := self.confirmed.wait(self.clock.now(), arrival.left)):
             self.waiting[r.number] = arrival
             self.clock.later(wait, lambda: self.waited(r))
@@ -338,7 +347,8 @@
             stage = "read" if t.reads else "write"
             self.trace(f"attempt request={r.key} n={t.n} engine={t.engine} stage={stage} result={result} "
                        f"ms={(self.clock.now() - t.sent) / MS:.1f} kept={kept} "
-                       f"at_ms={(t.sent - r.came) / MS:.1f}")
+                       f"at_ms={(t.sent - r.came) / MS:.1f} expected_ms={t.expected / MS:.1f} "
+                       f"claimed={t.claimed if t.reads else 0} prompt={r.prompt}")
         self.push(i.Outcome(r.number, t.n, t.engine, result, self.clock.now() - t.sent, kept, r.over, report))
 
     def forget(self, number: int) -> None:
@@ -363,7 +373,7 @@
         if entry := self.listed.get(a.engine):
             role = self.settings.roles.get(entry.kind)
         timeout = max(0, min(a.timeout or r.deadline - now, r.deadline - now))
-        t = Attempt(r, len(r.attempts), a.engine, role == "read", now, timeout, a.until)
+        t = Attempt(r, len(r.attempts), role == "read", now, timeout, a)
         invariant(self.settings.may_duplicate or not r.out, "one-copy", f"request {r.key}")
         r.attempts.append(t)
         r.out += 1
--- a/claycross/decide/learned.py
+++ b/claycross/decide/learned.py
@@ -12,7 +12,8 @@
 
 from typing import Any
 
-from ..policy import PACE_SAMPLES, PREFIX_AGE, RECENT, Router
+from ..policy import PACE_SAMPLES, RECENT, Router
+from .prefixes import PREFIX_AGE, Credit, SessionRecord
 
 MOST_ENGINES, MOST_SESSIONS, MOST_PREFIXES = 512, 1_024, 512
 OLDEST = 30 * 1_000_000_000  # ns: lessons not written again for so long are of another day
@@ -94,9 +95,10 @@
             e.pace, e.samples = float(pace), min(int(samples), PACE_SAMPLES)
     for session, (reader, prompt, at) in found["sessions"].items():
         if reader in same and now - at < PREFIX_AGE and session not in shared.sessions:
-            shared.sessions[session] = (reader, int(prompt), int(at))
+            shared.sessions[session] = SessionRecord(reader, int(prompt), int(at))
     for prefix, held in found["prefixes"].items():
-        kept = {r: (int(n), int(at)) for r, (n, at) in held.items() if r in same and now - at < PREFIX_AGE}
+        kept = {r: Credit(int(n), int(at)) for r, (n, at) in held.items()
+                if r in same and now - at < PREFIX_AGE}
         if kept and prefix not in shared.prefixes:
             shared.prefixes[prefix] = kept
             for reader, (n, _) in kept.items():
--- a/claycross/interface.py
+++ b/claycross/interface.py
@@ -209,6 +209,8 @@
     engine: str
     timeout: int  # 0: until the client gives up
     until: int = 0  # it must not go out later than this; 0: at any time
+    expected: int = 0  # foretold time to its outcome or first token; for the log alone
+    claimed: int = 0  # prompt tokens taken as kept there; for the log alone
 
 
 @dataclass(slots=True)
--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -15,6 +15,7 @@
 
 from .decide.fleet.board import READ, WRITE, Board
 from .decide.fleet.sums import Sums
+from .decide.prefixes import PrefixTable
 from .interface import (
     Abandoned, Action, Arrival, Cancel, ClassSpec, EngineEntry, EngineList, Event, Fail, Heard, LoadReport,
     Log, Outcome, Refuse, Release, Send, SetTimer, Settings, Stopping, StreamBegan, Subscribe, Tell,
@@ -22,10 +23,9 @@
 
 MS, SECOND = 1_000_000, 1_000_000_000
 
-PREFIX_AGE = 30 * SECOND  # a credit not renewed for so long is forgotten
 HOT, HOT_PRIOR = 1.5, 4.0  # fair shares of a reader that one home may get; arrivals taken as seen before
 MISSES = 2  # reads in a row that found under a quarter of their credit: the reader was flushed
-TABLE_CAP, IMBALANCE = 8192, 2.0  # of prefixes and of sessions; times the mean load, for holders
+IMBALANCE, OVERFLOW = 2.0, 4  # times the mean load, for holders; readers that one prefix is tried at
 EVICTION_WEIGHT = 0.02  # tokens of cost for each credited token at a full reader; most are never evicted
 MEMORY_UNKNOWN, OUTPUT_STAND_IN = 0.5, 0.5  # memory share of an unheard reader; of the token limit, unhinted
 SHORT_PROMPT = 512  # tokens still to be read up to which a mixed server takes a prompt unread
@@ -34,6 +34,7 @@
 READ_PACE, FIRST_TOKEN = 80_000, 150 * MS  # ns a token read, and to a writer's first, until some are seen
 PATIENCE, PATIENCE_MIN = 4.0, 400 * MS  # an attempt's, at a silent engine: times its expected time, plus
 ALIVE, SUSPECT = 3.0, 0.5  # of it: at an engine with signs of life; after which a silent one is passed over
+BACKOFF, TIMEOUTS_BACKED_OFF = 1.5, 3  # times as long, for each time-out in a row at a role; for so many
 PACE_GAIN, TRIAL_GAIN = 0.2, 0.5  # weight of a new sample in an engine's pace, and while it is on trial
 PACE_SAMPLES, RECENT = 3, 11  # samples that are believed in full, and those of a role that are its median
 SLOW, FAILS = 3.0, 2  # times its peers' median pace, and failures in a row, that eject
@@ -41,7 +42,8 @@
 ASK_MOST = 3 * SECOND  # until a failed call to discovery is made again: what it tells counts after 6 s
 BLAMERS = 2  # nodes that met a failure there of late, this one included, for the same
 EJECT_SHARE, EJECT_ARRIVALS = 0.6, 4  # of a role at most, else the list is believed; arrivals it outlasts
-DIALS_FAILED, FULL_PAUSE = 1 / (8 * SECOND), 150 * MS  # rate that keeps to open ones; of a full writer
+DIALS_FAILED, DIALS_WINDOW = 2, 2 * SECOND  # so many within so long keep to engines with open connections
+FULL_PAUSE = 150 * MS  # of a full writer
 BUCKET, RETRY_SHARE, RETRY_CAP = 2.0, 0.25, 12.0  # least quota depth; retries a request earns, saved most
 WRITER_FULL = 0.85  # share of a writer's memory up to which reads are started for it
 LAG_GAIN, LAG_QUANTILES = 0.1, (0.5, 0.8)  # of the factors by which reads outlast what was foretold:
@@ -61,11 +63,11 @@
 
 class Attempt:
     def __init__(self, n: int, engine: Engine, reads: bool, in_place: bool, sent: int, work: float,
-                 expected: float, claimed: int, home: bool):
+                 expected: float, claimed: int, home: bool, backoff: float):
         self.n, self.engine, self.reads, self.in_place, self.sent = n, engine, reads, in_place, sent
         self.work, self.expected, self.claimed = work, expected, claimed
         self.home = home  # sent to a home of what this node does not know
-        self.patience = int(PATIENCE * expected + PATIENCE_MIN)
+        self.patience = int(PATIENCE * backoff * expected + PATIENCE_MIN)
         self.blamed = False  # its engine, for silence, while it is still waited for
         self.ahead, self.result, self.cancelled = 0.0, "", False  # tokens that were to be read before it
 
@@ -116,73 +118,21 @@
     return int(rank("tag", engine) * 65536)
 
 
-class PrefixTable:
-    """Which readers got each prefix, and each session's last reader and prompt length."""
-
-    def __init__(self) -> None:
-        self.prefixes: dict[str, dict[str, tuple[int, int]]] = {}  # prefix -> reader -> (tokens, time)
-        self.sessions: dict[str, tuple[str, int, int]] = {}  # session -> (reader, prompt, time)
-        self.credit: dict[str, int] = {}  # reader -> prefix tokens credited there
-        self.asked: dict[str, float] = {}  # prefix -> arrivals of late, fading; "": all
-
-    def note(self, event: Arrival, reader: str, now: int) -> None:
-        if event.prefix:
-            held = self.prefixes.pop(event.prefix, {})
-            more = event.prefix_tokens - held.get(reader, (0, 0))[0]
-            self.credit[reader] = self.credit.get(reader, 0) + more
-            held[reader] = (event.prefix_tokens, now)
-            self.prefixes[event.prefix] = held  # to the end: dicts keep the order of insertion
-        if event.session:
-            self.sessions.pop(event.session, None)
-            self.sessions[event.session] = (reader, event.prompt, now)
-        if len(self.prefixes) > TABLE_CAP:
-            for r, (tokens, _) in self.prefixes.pop(next(iter(self.prefixes))).items():
-                self.credit[r] = self.credit.get(r, 0) - tokens
-        if len(self.sessions) > TABLE_CAP:
-            del self.sessions[next(iter(self.sessions))]
-
-    def matches(self, event: Arrival, now: int) -> dict[str, int]:
-        """Tokens of this prompt credited at each reader that has any."""
-        held = self.prefixes.get(event.prefix, {}).items()
-        found = {r: min(n, event.prompt) for r, (n, at) in held if now - at < PREFIX_AGE}
-        reader, prompt, at = self.sessions.get(event.session, ("", 0, 0))
-        if reader and now - at < PREFIX_AGE:
-            found[reader] = max(found.get(reader, 0), min(prompt, event.prompt))
-        return found
-
-    def forget_reader(self, reader: str) -> None:
-        """Its kept texts are gone (it restarted, left, or its reads found far less than the table claims)."""
-        for prefix in [p for p, held in self.prefixes.items() if reader in held]:
-            del self.prefixes[prefix][reader]
-            if not self.prefixes[prefix]:
-                del self.prefixes[prefix]
-        self.sessions = {s: v for s, v in self.sessions.items() if v[0] != reader}
-        self.credit.pop(reader, None)
-
-    def homes(self, event: Arrival, readers: list[Engine],
-              warmth: Callable[[Engine], float]) -> list[Engine]:
-        """The readers that the prefix (or, with none, the session) hashes to, alike at all nodes. Departure:
-        one with over HOT fair shares of the arrivals has further homes, next in rendezvous order; each
-        session keeps to one. Guards against a hot prefix, of whose load a node sees next to nothing. It could
-        harm by reading a prefix at more places than needed. A cold reader is home to as many of the sessions
-        as it has warmth, and to the same ones at all nodes: guards it, and what is kept, against forty nodes
-        that each make their own choice of when to pass it over."""
-        if not (key := event.prefix or event.session):
-            return []
-        share = (self.asked.get(event.prefix, 1.0) - 1) / (self.asked.get("", 0.0) + HOT_PRIOR)
-        count = 1 + int(share * len(readers) / HOT) if event.prefix else 1
-        fit = [e for e in readers if (w := warmth(e)) >= 1 or rank(event.session or key, e.id) < w] or readers
-        first = sorted(fit, key=lambda e: -rank(key, e.id))[:count]
-        return sorted(first, key=lambda e: -rank(event.session, e.id))
-
-    def age(self, now: int, span: int) -> None:
-        self.asked = {p: m for p, n in self.asked.items() if (m := n * 0.5 ** (span / PREFIX_AGE)) > 0.1}
-        for prefix, held in list(self.prefixes.items()):
-            for reader in [r for r, (_, at) in held.items() if now - at >= PREFIX_AGE]:
-                self.credit[reader] = self.credit.get(reader, 0) - held.pop(reader)[0]
-            if not held:
-                del self.prefixes[prefix]
-        self.sessions = {s: v for s, v in self.sessions.items() if now - v[2] < PREFIX_AGE}
+def find_homes(table: PrefixTable, event: Arrival, readers: list[Engine], warmth: Callable[[Engine], float],
+          loads_known: bool) -> tuple[list[Engine], list[Engine]]:
+    """The readers that the prefix (or, with none, the session) hashes to, alike at all nodes, and those that
+    take the overflow of these, in order. Departure: where the others' loads are not known, a prefix with over
+    HOT fair shares of the arrivals has further homes; each session keeps to one. Guards against a hot prefix,
+    of whose load a node sees next to nothing; a few arrivals say little of a share, so where loads are known
+    they decide. A cold reader is home to as many of the sessions as it has warmth, and to the same ones at
+    all nodes: guards it, and what is kept, against nodes that each choose when to pass it over."""
+    if not (key := event.prefix or event.session):
+        return [], []
+    share = (table.demand.get(event.prefix, 1.0) - 1) / (table.demand.get("", 0.0) + HOT_PRIOR)
+    count = 1 + int(share * len(readers) / HOT) if event.prefix and not loads_known else 1
+    fit = [e for e in readers if (w := warmth(e)) >= 1 or rank(event.session or key, e.id) < w] or readers
+    order = sorted(fit, key=lambda e: -rank(key, e.id))[:max(count, OVERFLOW)]
+    return sorted(order[:count], key=lambda e: -rank(event.session, e.id)), order[count:]
 
 
 class EngineHealth:
@@ -194,6 +144,7 @@
         self.blames: Callable[[str], None] = lambda engine: None  # tells the other nodes of a failure
         self.recent = {role: deque([float(READ_PACE if role == "read" else FIRST_TOKEN)], maxlen=RECENT)
                        for role in ("read", "write", "both")}  # the last paces, after a starting value
+        self.timeouts = Counter[str]()  # role -> those in a row that no sign of life came after
         self.memo, self.now = dict[tuple[str, str], Any](), 0  # of this batch
         self.rates: dict[str, tuple[float, int]] = {}  # role -> successes at warm engines; "" -> arrivals
 
@@ -222,11 +173,16 @@
         found = max(1.0, e.pace / self.typical(e.role)) ** believed if e.samples else 1.0
         return max(found, 1 / self.warmth(e))
 
-    def sample(self, e: Engine, pace: float, now: int) -> None:
+    def sample(self, e: Engine, pace: float, now: int, timed_out: bool = False) -> None:
+        """A time-out with no sign of life since tells of its engine alone, which may be dead or cut off: it
+        lengthens further time-outs (Karn's algorithm), and counts for the role only where nothing answers.
+        Guards against a cut that made a node foretell ten times too long, and so refuse all it got."""
         gain = TRIAL_GAIN if e.ejections else max(PACE_GAIN, 1 / (e.samples + 1))  # in proportions
         e.pace = e.pace ** (1 - gain) * max(pace, 1.0) ** gain if e.samples else max(pace, 1.0)
         e.samples += 1
-        self.recent[e.role].append(max(pace, 1.0))
+        self.timeouts[e.role] = self.timeouts[e.role] + 1 if timed_out else 0
+        if not timed_out or self.timeouts[e.role] > TIMEOUTS_BACKED_OFF:
+            self.recent[e.role].append(max(pace, 1.0))
         self.memo.pop(("typical", e.role), None)
         if self.slowness(e) > SLOW and not self.cold(e, now):
             self.eject(e, now)
@@ -357,6 +313,7 @@
         self.sweep_at = self.aged = self.list_fails = 0
         self.lags, self.started = [1.0, 1.0], False
         self.home_kept = HOME_KEPT
+        self.dials_failed = deque[int](maxlen=DIALS_FAILED)  # when the last ones did
         self.logged: dict[str, int] = {}
         self.handlers = {Outcome: self.on_outcome, Arrival: self.on_arrival, StreamBegan: self.on_began,
                          TimerDue: self.on_timer, Abandoned: self.on_abandoned, EngineList: self.on_list,
@@ -424,8 +381,7 @@
         r.over_quota = self.admission.over_quota(event.tenant, self.now)
         self.admission.retries = min(RETRY_CAP, self.admission.retries + RETRY_SHARE)
         self.health.count("", self.now)
-        for key in {event.prefix: 1, "": 1}:
-            self.table.asked[key] = self.table.asked.get(key, 0.0) + 1
+        self.table.record_arrival(event)
         self.requests[r.id] = self.held[r.id] = r
         self.acts.append(SetTimer(max(0, r.deadline - self.now), f"end {r.id}"))
 
@@ -451,8 +407,9 @@
     def reachable(self, r: Request, engines: list[Engine]) -> list[Engine]:
         """Those with an open connection, while new ones fail here. Guards against slow set-up, full tables of
         connections and cut links; it could crowd the few that are open."""
-        if self.health.rate("dials failed", self.now) < DIALS_FAILED and all(
-                a.result != "connect_failed" for a in r.attempts):
+        failed = self.dials_failed
+        failing = len(failed) == failed.maxlen and self.now - failed[0] < DIALS_WINDOW
+        if not failing and all(a.result != "connect_failed" for a in r.attempts):
             return engines
         return [e for e in engines if self.now - e.heard < self.s.idle_close] or engines
 
@@ -500,9 +457,10 @@
             # It took at least so long. Without this sample time-outs would stay short in a slowdown of all,
             # and each attempt be dropped just before its turn: a storm that feeds itself.
             work = a.ahead + a.work + OVERHEAD_TOKENS if a.reads else 1
-            self.health.sample(e, max(e.pace, event.took / work), self.now)  # clients leave early, too
+            silent = e.heard < a.sent  # clients leave early, too
+            self.health.sample(e, max(e.pace, event.took / work), self.now, silent)
         if event.result == "connect_failed":
-            self.health.count("dials failed", self.now)
+            self.dials_failed.append(self.now)
             e.heard = 0
         if event.result in ("timeout", "connect_failed", "cancelled"):
             if event.result == "connect_failed" or (r.stage != "ended" and e.heard < a.sent):
@@ -527,7 +485,7 @@
                 e.misses = e.misses + 1 if event.found_kept < a.claimed / 4 else 0
                 if e.misses >= MISSES:
                     self.table.forget_reader(e.id)  # flushed: its other credits are as doubtful
-                self.table.note(r.event, e.id, self.now)
+                self.table.record_read(r.event, e.id, self.now)
             elif not began and not a.in_place:
                 self.health.sample(e, event.took, self.now)
 
@@ -583,7 +541,8 @@
                 or self.health.cold_room(e, self.now) <= 0 or not self.allowed(r, e)):
             return False
         in_place = not reads and r.state_at is None
-        a = Attempt(len(r.attempts), e, reads, in_place, self.now, work, expected, claimed, home)
+        backoff = BACKOFF ** min(self.health.timeouts[e.role], TIMEOUTS_BACKED_OFF)
+        a = Attempt(len(r.attempts), e, reads, in_place, self.now, work, expected, claimed, home, backoff)
         timeout = int(a.patience * ALIVE) if self.s.may_cancel else a.patience
         if not self.elsewhere(r, a):
             timeout = r.deadline - self.now
@@ -602,7 +561,8 @@
             r.stage, r.holds = "reading", True
         else:
             e.streams[r.id], r.stage = r.need, "writing"
-        self.acts.append(Send(r.id, e.id, min(timeout, max(self.s.tick, r.deadline - self.now)), until))
+        timeout = min(timeout, max(self.s.tick, r.deadline - self.now))
+        self.acts.append(Send(r.id, e.id, timeout, until, int(expected), int(r.event.prompt - work)))
         return True
 
     def end(self, r: Request, answer: Refuse | Fail | None) -> None:
@@ -670,17 +630,23 @@
         mean = sum(loads.values()) / len(loads)
         matches = self.table.matches(event, self.now)
         usable = {e.id: matches.get(e.id, 0) for e in readers}
-        homes = [] if event.session in self.table.sessions else self.table.homes(
-            event, readers, self.health.warmth)
+        homes, overflow = ([], []) if event.session in self.table.sessions else find_homes(
+            self.table, event, readers, self.health.warmth, self.board.live(self.now))
         best = max(usable.values())
         likely = dict(usable)  # at its home other nodes had it read: that much was found kept there of late
         for e in (e for e in homes if not self.health.cold(e, self.now)):
             likely[e.id] = max(likely[e.id], int(self.home_kept * event.prompt))
         if best > event.prompt - best:
             holders = [e for e in readers if usable[e.id] == best or e in homes[:len(homes) > 1]]
+            holders.sort(key=lambda e: (loads[e.id], -rank(event.session, e.id)))
         else:  # unknown here: its home; a longer match than the prefix's may be known to another node
             holders = homes[:1]
-        holders = [e for e in holders if loads[e.id] <= IMBALANCE * mean]
+        # Departure: what waits at a holder is set against what reading anew would add elsewhere, and one that
+        # is over that passes on to the next in the order (consistent hashing with bounded loads). Guards
+        # against an almost idle fleet, whose mean is so low that any holder at work lost its requests.
+        least = min(loads.values())
+        holders = [e for e in holders + overflow
+                   if loads[e.id] <= max(IMBALANCE * mean, least + likely[e.id])]
 
         def cost(e: Engine) -> float:
             share = e.report.memory_share if e.report else None
@@ -693,10 +659,9 @@
             # Departure: a holder that would be late yields to the explored reader if that would not. Guards
             # against a hot prefix, of whose load this router sees a slice, and a slowed holder. When all are
             # late it stays: scattered prefixes are read anew everywhere, and readers never catch up.
-            holder = min(holders, key=lambda e: (loads[e.id], -rank(event.session, e.id)))
-            late, there = (not self.in_time(r, self.read_time(e, event.prompt - likely[e.id]), SAFE)
-                           for e in (holder, chosen))
-            chosen = chosen if late and not there else holder
+            timely = [e for e in (*holders, chosen) if self.in_time(
+                r, self.read_time(e, event.prompt - likely[e.id]), SAFE)]
+            chosen = timely[0] if timely else holders[0]
         return chosen, likely[chosen.id], usable[chosen.id], chosen in homes
 
     def projected(self, e: Engine) -> float:  # this router's streams there, plus the last report
@@ -809,10 +774,16 @@
         if self.ahead(e) and not self.in_time(r, expected, SAFE, WRITE_LAG):
             if self.in_time(r, expected, LIKELY, WRITE_LAG):
                 return False  # doubtful: held back, at no reader's expense, until one of the two is plain
-            # Load shedding: late, it would make others late. Guards against any lasting lack of readers.
-            self.give_up(r, int(expected), "readers")
-            self.log("late", "readers are behind: requests are refused early")
-            return True
+            # Load shedding: late, it would make others late, unless a reader has nothing to do: then it is
+            # worth what a late answer is. Guards against any lasting lack of readers.
+            idle = [x for x in fresh if not self.ahead(x)] if r.cls.late_worth else []
+            if not idle:
+                self.give_up(r, int(expected), "readers")
+                self.log("late", "readers are behind: requests are refused early")
+                return True
+            e = min(idle, key=lambda x: (self.health.slowness(x), -rank(str(r.id), x.id)))
+            work, claimed, home = r.event.prompt, 0, False
+            expected = self.read_time(e, work)
         return self.send(r, e, True, float(work), expected, claimed, home)
 
     def in_place(self, r: Request, engines: list[Engine]) -> bool:
