A zone that stays silent is passed over for a while, and a retry goes to another zone

A request that met silence in a zone goes on in another one. Asked in one place of the module, reachable().

--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -15,6 +15,7 @@
 
 from .decide.fleet.board import READ, WRITE, Board
 from .decide.fleet.sums import Sums
+from .decide.fleet.zones import ZoneReachability
 from .decide.prefixes import PrefixTable
 from .interface import (
     Abandoned, Action, Arrival, Cancel, ClassSpec, EngineEntry, EngineList, Event, Fail, Heard, LoadReport,
@@ -89,6 +90,7 @@
         self.settled = now  # time of the last outcome
         self.out, self.over_quota = 0, False  # attempts pending
         self.avoid: list[str] = []  # engines that failed it
+        self.silent_zones: set[str] = set()  # where one of them gave no sign of life
 
 
 class Engine:
@@ -313,6 +315,7 @@
         self.sweep_at = self.aged = self.list_fails = 0
         self.lags, self.started = [1.0, 1.0], False
         self.home_kept = HOME_KEPT
+        self.zones = ZoneReachability()
         self.dials_failed = deque[int](maxlen=DIALS_FAILED)  # when the last ones did
         self.logged: dict[str, int] = {}
         self.handlers = {Outcome: self.on_outcome, Arrival: self.on_arrival, StreamBegan: self.on_began,
@@ -396,6 +399,7 @@
             return
         e = a.engine
         e.heard = self.now
+        self.zones.answered(e.entry.zone)
         e.pending.pop((r.id, a.n), None)
         self.health.good(e)
         self.health.count(e.role, self.now, self.health.cold(e, self.now))
@@ -405,8 +409,11 @@
             r.stage, r.holds = "streaming", False
 
     def reachable(self, r: Request, engines: list[Engine]) -> list[Engine]:
-        """Those with an open connection, while new ones fail here. Guards against slow set-up, full tables of
-        connections and cut links; it could crowd the few that are open."""
+        """Departure: those in zones that can be reached, by all that is known; and those with an open
+        connection, while new ones fail here. Guards against cut links, slow set-up and full tables of
+        connections; it could crowd the few that are open."""
+        engines = [e for e in engines if not self.zones.suspect(e.entry.zone, self.now)] or engines
+        engines = [e for e in engines if e.entry.zone not in r.silent_zones] or engines
         failed = self.dials_failed
         failing = len(failed) == failed.maxlen and self.now - failed[0] < DIALS_WINDOW
         if not failing and all(a.result != "connect_failed" for a in r.attempts):
@@ -463,10 +470,15 @@
             self.dials_failed.append(self.now)
             e.heard = 0
         if event.result in ("timeout", "connect_failed", "cancelled"):
+            never_up = event.result == "connect_failed" and event.took >= self.s.dial_timeout
+            if never_up or (event.result != "connect_failed" and r.stage != "ended" and e.heard < a.sent):
+                self.zones.stayed_silent(e.entry.zone, e.id, self.now)
+                r.silent_zones.add(e.entry.zone)
             if event.result == "connect_failed" or (r.stage != "ended" and e.heard < a.sent):
                 self.health.bad(e, self.now, silent=True)
             return
         e.heard = self.now
+        self.zones.answered(e.entry.zone)
         if event.result in ("reset", "error"):
             self.health.bad(e, self.now)
         elif event.result == "full":
