An overdue attempt's engine is dialled, and given up after two dials that fail

Ruled out: probes (on this site they wait in the engine's queue as a request does, so a busy engine is as silent), a shorter patience (one read in ten takes over twice what was foretold, and would be read anew).

Change: 0.1 s after an attempt's foretold time the module asks for a new connection to its engine (CheckConnection, ConnectionChecked; closed at once, nothing is sent on it). Two in a row that do not come up end the attempt's patience; one may merely come up late. A write that may not run twice is waited for still, and its engine put out.

--- a/claycross/core.py
+++ b/claycross/core.py
@@ -56,6 +56,7 @@
                 still: Callable[[], bool]) -> None: ...
     def reserve(self, engine: str, key: str, told: Callable[[bool | None], None]) -> None: ...
     def probe(self, engine: str, told: Callable[[bool, i.LoadReport | None], None]) -> None: ...
+    def check_connection(self, engine: str, told: Callable[[bool], None]) -> None: ...
 
 
 class Request:
@@ -117,6 +118,7 @@
             i.Send: self.send, i.Release: self.let_go, i.Cancel: self.cancel, i.Refuse: self.refuse,
             i.Fail: self.fail, i.SetTimer: self.set_timer, i.Log: lambda a: self.log(f"policy {a.text}"),
             i.Reserve: self.reserve, i.Probe: self.probe, i.Move: self.move,
+            i.CheckConnection: self.check_connection,
             i.Subscribe: lambda _: self.subscribe(), i.Tell: lambda a: self.tell(a.payload, a.to)}
 
     def count(self, what: str) -> None:
@@ -539,6 +541,12 @@
                 self.push(i.Reserved(r.number, a.engine, held))
         self.calls.reserve(a.engine, r.key, told)
 
+    def check_connection(self, a: i.CheckConnection) -> None:
+        def told(reached: bool) -> None:
+            self.count("reached" if reached else "unreached")
+            self.push(i.ConnectionChecked(a.engine, reached))
+        self.calls.check_connection(a.engine, told)
+
     def probe(self, a: i.Probe) -> None:
         start = self.clock.now()
         self.calls.probe(a.engine, lambda passed, report: self.push(
--- a/claycross/interface.py
+++ b/claycross/interface.py
@@ -57,6 +57,7 @@
     may_duplicate: bool = False
     may_probe: bool = False
     may_reserve: bool = False
+    may_check_connections: bool = False  # `CheckConnection` is understood; the simulator does not know it
     peers: bool = False  # gateways may send each other short messages
     sums_above: int = ALL_TELL  # gateways; among more of them one collects what all have in hand
     hints_hold_off: bool = False
@@ -182,6 +183,14 @@
     report: LoadReport | None = None
 
 
+@dataclass(slots=True)
+class ConnectionChecked:
+    """Whether a new connection to the engine came up, after `CheckConnection`."""
+
+    engine: str
+    reached: bool
+
+
 @dataclass(slots=True)
 class Stopping:
     """This process was told to end; what it has it may still finish."""
@@ -196,7 +205,7 @@
 
 
 Event = (EngineList | Arrival | StreamBegan | Outcome | Reserved | Abandoned | TimerDue | ProbeResult | Heard
-         | Stopping)
+         | ConnectionChecked | Stopping)
 
 # ---------------------------------------------------------------- actions
 
@@ -266,6 +275,13 @@
     engine: str
 
 
+@dataclass(slots=True)
+class CheckConnection:
+    """Open a connection to the engine and close it again, to tell a slow engine from an unreachable one."""
+
+    engine: str
+
+
 @dataclass(slots=True)
 class Tell:
     """A short message to another gateway, or to all others, 256 bytes at most."""
@@ -284,4 +300,5 @@
     text: str
 
 
-Action = Send | Reserve | Release | Cancel | Refuse | Fail | Move | SetTimer | Probe | Tell | Subscribe | Log
+Action = (Send | Reserve | Release | Cancel | Refuse | Fail | Move | SetTimer | Probe | CheckConnection | Tell
+          | Subscribe | Log)
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -34,6 +34,10 @@
     """The connection was closed, here or by its other side, or broke."""
 
 
+class NoRoom(Closed):
+    """This process can't open another connection; it says nothing of the other side."""
+
+
 class TimedOut(Closed):
     """It did not become ready in time."""
 
@@ -340,7 +344,7 @@
         try:
             conn = cls(loop, socket.socket())
         except OSError as err:  # out of descriptors
-            raise Closed(f"no socket: {err}") from None
+            raise NoRoom(f"no socket: {err}") from None
         try:
             if (err := conn.sock.connect_ex(address)) == errno.EINPROGRESS:
                 conn.wait(False, wait)
--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 from collections import Counter, deque
 from collections.abc import Callable
@@ -17,10 +16,11 @@
 from .decide.fleet.sums import Sums
 from .decide.fleet.zones import ZoneReachability
 from .decide.prefixes import PrefixTable
+from .decide.rendezvous import rank, tag
 from .interface import (
-    Abandoned, Action, Arrival, Cancel, ClassSpec, EngineEntry, EngineList, Event, Fail, Heard, LoadReport,
-    Log, Outcome, Refuse, Release, Send, SetTimer, Settings, Stopping, StreamBegan, Subscribe, Tell,
-    TimerDue)
+    Abandoned, Action, Arrival, Cancel, CheckConnection, ClassSpec, ConnectionChecked, EngineEntry,
+    EngineList, Event, Fail, Heard, LoadReport, Log, Outcome, Refuse, Release, Send, SetTimer, Settings,
+    Stopping, StreamBegan, Subscribe, Tell, TimerDue)
 
 MS, SECOND = 1_000_000, 1_000_000_000
 
@@ -33,6 +33,7 @@
 OTHER_CELL, OTHER_ZONE = 0.10, 0.15  # by how much of its memory a nearer writer may be fuller and still win
 OVERHEAD_TOKENS = 300  # fixed cost of a read (network, a step), as tokens
 READ_PACE, FIRST_TOKEN = 80_000, 150 * MS  # ns a token read, and to a writer's first, until some are seen
+CHECK_AFTER, UNREACHED = 100 * MS, 2  # beyond its expected time, an attempt's engine is dialled; failures
 PATIENCE, PATIENCE_MIN = 4.0, 400 * MS  # an attempt's, at a silent engine: times its expected time, plus
 ALIVE, SUSPECT = 3.0, 0.5  # of it: at an engine with signs of life; after which a silent one is passed over
 BACKOFF, TIMEOUTS_BACKED_OFF = 1.5, 3  # times as long, for each time-out in a row at a role; for so many
@@ -69,6 +70,8 @@
         self.work, self.expected, self.claimed = work, expected, claimed
         self.home = home  # sent to a home of what this node does not know
         self.patience = int(PATIENCE * backoff * expected + PATIENCE_MIN)
+        self.check_at = sent + int(expected) + CHECK_AFTER  # whether its engine can be reached
+        self.checked, self.unreached = False, 0  # a check is under way or was passed; checks that failed
         self.blamed = False  # its engine, for silence, while it is still waited for
         self.ahead, self.result, self.cancelled = 0.0, "", False  # tokens that were to be read before it
 
@@ -110,16 +113,6 @@
         self.pace, self.samples, self.fails, self.ejections, self.misses = 0.0, 0, 0, 0, 0
 
 
-def rank(key: str, engine: str) -> float:
-    """Rendezvous weight, 0 to 1; the same at every node."""
-    return int(hashlib.blake2b(f"{key}|{engine}".encode(), digest_size=6).hexdigest(), 16) / 2 ** 48
-
-
-def tag(engine: str) -> int:
-    """The 16 bits by which nodes speak of an engine."""
-    return int(rank("tag", engine) * 65536)
-
-
 def find_homes(table: PrefixTable, event: Arrival, readers: list[Engine], warmth: Callable[[Engine], float],
           loads_known: bool) -> tuple[list[Engine], list[Engine]]:
     """The readers that the prefix (or, with none, the session) hashes to, alike at all nodes, and those that
@@ -320,7 +313,8 @@
         self.logged: dict[str, int] = {}
         self.handlers = {Outcome: self.on_outcome, Arrival: self.on_arrival, StreamBegan: self.on_began,
                          TimerDue: self.on_timer, Abandoned: self.on_abandoned, EngineList: self.on_list,
-                         Heard: self.on_heard, Stopping: lambda _: self.board.stop()}
+                         Heard: self.on_heard, ConnectionChecked: self.on_checked,
+                         Stopping: lambda _: self.board.stop()}
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         self.now, self.acts = now, [] if self.started or not self.s.ask_for_list else [Subscribe()]
@@ -420,6 +414,13 @@
             return engines
         return [e for e in engines if self.now - e.heard < self.s.idle_close] or engines
 
+    def on_checked(self, event: ConnectionChecked) -> None:
+        """Guards requests against waiting out the patience meant for slow engines at one that is cut off."""
+        if not event.reached and (e := self.health.engines.get(event.engine)):
+            for a in e.pending.values():
+                a.unreached, a.checked = a.unreached + 1, False
+                a.patience = 0 if a.unreached >= UNREACHED else a.patience
+
     def on_abandoned(self, event: Abandoned) -> None:
         if r := self.requests.get(event.request):
             self.end(r, None)
@@ -808,18 +809,26 @@
         expected = self.health.typical(e.role) + READ_PACE * (r.event.prompt + OVERHEAD_TOKENS)
         return self.send(r, e, False, 0.0, expected)
 
+    def watch(self, r: Request, a: Attempt) -> None:
+        """Checks, calls off or blames an attempt that is overdue."""
+        e = a.engine
+        if not self.health.silent(e, a, self.now):
+            if self.s.may_check_connections and e.heard < a.sent and a.check_at <= self.now and not a.checked:
+                a.checked = True
+                self.acts.append(CheckConnection(e.id))
+        elif self.elsewhere(r, a):
+            a.cancelled = True
+            self.acts.append(Cancel(r.id, a.n))
+        else:  # it is waited for, but others must not wait there, too
+            a.blamed = True
+            self.health.bad(e, self.now, silent=True)
+
     def arm(self) -> None:  # keeps one sweep timer running while anything is open
         if self.s.may_cancel:  # a silent engine's: the dead send no reset, so it is tried elsewhere
             for r in self.requests.values():
                 for a in r.attempts:
-                    if ((r.id, a.n) in a.engine.pending and not a.cancelled and not a.blamed
-                            and self.health.silent(a.engine, a, self.now)):
-                        if self.elsewhere(r, a):
-                            a.cancelled = True
-                            self.acts.append(Cancel(r.id, a.n))
-                        else:  # it is waited for, but others must not wait there, too
-                            a.blamed = True
-                            self.health.bad(a.engine, self.now, silent=True)
+                    if (r.id, a.n) in a.engine.pending and not a.cancelled and not a.blamed:
+                        self.watch(r, a)
         if (span := self.now - self.aged) > SECOND:
             self.aged = self.now
             self.table.age(self.now, span)
--- a/claycross/upstream/calls.py
+++ b/claycross/upstream/calls.py
@@ -29,7 +29,7 @@
         self.loop, self.pool, self.core = loop, pool, core
         self.endpoints: dict[str, Endpoint] = {}
         self.gone: dict[str, Endpoint] = {}
-        self.http1: Client = Http1(loop, pool, core.may_go)
+        self.http1 = Http1(loop, pool, core.may_go)
         self.http2: Client | None = None
         self.everywhere = False
 
@@ -118,6 +118,15 @@
         self.call(engine, "POST", f"/kv/leases/{key}", lambda found: told(
             {200: True, 409: False}.get(found.status) if found else None))
 
+    def check_connection(self, engine: str, told: Callable[[bool], None]) -> None:
+        """Whether the engine's machine accepts a new connection; nothing is told where that was not tried."""
+        def work() -> None:
+            endpoint = self.endpoints.get(engine)
+            reached = self.http1.reaches(endpoint) if endpoint else None
+            if reached is not None:
+                told(reached)
+        self.loop.spawn(work)
+
     def probe(self, engine: str, told: Callable[[bool, i.LoadReport | None], None]) -> None:
         def heard(found: Small | None) -> None:
             report = load_report(found.body.decode("latin-1")) if found else None
--- a/claycross/upstream/http1.py
+++ b/claycross/upstream/http1.py
@@ -13,7 +13,7 @@
 from ..invariant import invariant
 from ..net.address import Address, Endpoint
 from ..net.http1 import MAX_BODY, Body, End, Head, Malformed, Messages, request
-from ..net.loop import MS, SECOND, Closed, Conn, Loop, TimedOut
+from ..net.loop import MS, SECOND, Closed, Conn, Loop, NoRoom, TimedOut
 from .answers import SMALL, Answer
 from .interface import CUT_OFF, NEVER_WENT, Result, Small
 
@@ -51,7 +51,7 @@
     def dial(self, address: Address) -> Conn:
         """A new one, in use; drop() ends that."""
         if self.open >= self.limit and not self.make_room():
-            raise Closed("no connection: the pool is at its bound")
+            raise NoRoom("no connection: the pool is at its bound")
         self.open += 1
         self.used += 1
         self.dialled += 1
@@ -197,6 +197,17 @@
                     return None
         return None
 
+    def reaches(self, endpoint: Endpoint) -> bool | None:
+        """Whether a new connection comes up within the dial timeout; None: there was no room to try."""
+        try:
+            conn = self.pool.dial(endpoint.address)
+        except NoRoom:
+            return None
+        except Closed:
+            return False
+        self.pool.drop(conn)
+        return True
+
     def small(self, conn: Conn) -> tuple[Head, bytes, bool]:
         """A small answer, and whether its connection may be used again."""
         messages, head, body = Messages(responses=True, max_body=SMALL), None, b""
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -1,6 +1,6 @@
 """Defences, by symptom."""
 
-from claycross.interface import Subscribe, TenantSpec
+from claycross.interface import CheckConnection, ConnectionChecked, Subscribe, TenantSpec
 from tests.desk import (
     MS,
     READERS,
@@ -161,6 +161,49 @@
     assert d.router.health.typical("write") > 3 * before
 
 
+def checks(actions) -> list[CheckConnection]:
+    return [a for a in actions if isinstance(a, CheckConnection)]
+
+
+def test_an_overdue_attempt_is_called_off_once_its_engine_was_found_unreachable_twice():
+    d = Desk(may_check_connections=True)
+    first = sends(d.ask(1, prompt=8000, left=30 * SECOND))[0].engine
+    assert not checks(d.wait(500 * MS))  # foretold: 0.65 s
+    assert [c.engine for c in checks(d.wait(400 * MS))] == [first]
+    once = d.do(ConnectionChecked(first, False))  # connections may come up late: it is asked again
+    assert [c.engine for c in checks(once)] == [first] and Cancel not in kinds(once)
+    twice = d.do(ConnectionChecked(first, False))
+    assert Cancel in kinds(twice) and not checks(twice)
+    assert sends(d.reply(1, "cancelled"))[0].engine != first
+
+
+def test_an_engine_that_can_be_reached_is_waited_for_and_asked_once():
+    d = Desk(may_check_connections=True)
+    first = sends(d.ask(1, prompt=8000, left=30 * SECOND))[0].engine
+    assert len(checks(d.wait(SECOND))) == 1
+    d.do(ConnectionChecked(first, True))
+    actions = d.wait(SECOND)
+    assert not checks(actions) and Cancel not in kinds(actions)
+    assert Cancel in kinds(d.wait(2 * SECOND))  # its patience still ends
+
+
+def test_a_write_that_must_not_run_twice_is_waited_for_at_an_unreachable_engine():
+    d = Desk(may_check_connections=True)
+    d.ask(1, "once", left=30 * SECOND)
+    writer = sends(d.reply(1, "read"))[0].engine
+    assert [c.engine for c in checks(d.wait(600 * MS))] == [writer]
+    for _ in range(2):
+        assert Cancel not in kinds(d.do(ConnectionChecked(writer, False)))
+    assert not d.router.health.well(d.router.health.engines[writer], d.now)  # nobody else waits there
+    assert not sends(d.wait(5 * SECOND))
+
+
+def test_connections_are_not_checked_where_that_is_not_permitted():
+    d = Desk()
+    d.ask(1, prompt=8000, left=30 * SECOND)
+    assert not checks(d.wait(2 * SECOND))
+
+
 def test_time_outs_at_cut_off_engines_do_not_change_what_is_usual_while_others_answer():
     """They made a gateway foretell ten times too long, and refuse whatever came for half a minute."""
     d = Desk(engines=[f"r{n}" for n in range(1, 61)] + ["w1", "w2"], nodes=100)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -267,6 +267,25 @@
     eventually(lambda: any(m.start.startswith("DELETE") for m in reader.calls))
 
 
+@pytest.mark.parametrize("release", [False, True])
+def test_a_read_at_an_engine_that_can_no_longer_be_reached_is_not_waited_out(site, release):
+    """Its open connection stays quiet, as one does over a cut link; a new one shows that it is gone."""
+    lost = threading.Event()
+
+    def plan(engine, request, wire):
+        if lost.is_set():
+            return wire.reply(202)
+        lost.set()
+        engine.sock.shutdown(socket.SHUT_RDWR)
+        engine.sock.close()
+        wire.gone()
+    s = site(Engine("p", plan=plan), Engine("p", plan=plan), Engine("d"), release=release)
+    start = time.monotonic()
+    answer = s.chat(timeout=20_000, X_Attrs="prompt_len=40000,prefix_len=0,max_out=50")
+    assert answer.status == 200
+    assert time.monotonic() - start < 4  # 1.6 s are foretold for the read; its patience is 6.9 s
+
+
 def test_a_request_id_that_is_under_way_is_not_run_a_second_time(site):
     go, reader, writer = threading.Event(), Engine("p"), Engine("d")
 
