--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -674,7 +674,7 @@
             # late it stays: scattered prefixes are read anew everywhere, and readers never catch up.
             timely = [e for e in (*holders, chosen) if self.in_time(
                 r, self.read_time(e, event.prompt - likely[e.id]), SAFE)]
-            chosen = timely[0] if timely else holders[0]
+            chosen = timely[0] if timely else chosen if holders[0] in overflow else holders[0]
         return chosen, likely[chosen.id], usable[chosen.id], chosen in homes
 
     def projected(self, e: Engine) -> float:  # this router's streams there, plus the last report
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from claycross.policy import rank
+from claycross.policy import Request, rank
 from tests.desk import MS, READERS, SECOND, WRITERS, Desk, EngineList, LoadReport, entry, sends
 
 
@@ -104,6 +104,21 @@
     assert used == {order[1]}
 
 
+def test_a_prompt_that_would_be_late_at_every_reader_does_not_overflow_to_a_busier_one():
+    """Overloaded, the least loaded reader serves it soonest; its prefix is nowhere else anyway."""
+    names = [f"r{n}" for n in range(1, 5)]
+    order = sorted(names, key=lambda e: -rank("p", e))
+    d = Desk(engines=[*names, "w1"], nodes=60, peers=True)
+    for e, queued in zip(order, (90_000.0, 30_000.0, 30_000.0, 17_500.0), strict=True):
+        d.router.health.engines[e].reading = queued
+    d.router.lags = [1.0, 3.0]  # late for certain nowhere, and nowhere surely in time
+    r = d.router
+    r.now = r.health.now = d.now
+    asked = Request(_arrival(prefix="p", prefix_tokens=900), r.s.classes["ask"], d.now, 0)
+    readers = [r.health.engines[e] for e in names]
+    assert r.pick_reader(asked, readers)[0].id == order[3]
+
+
 def test_an_unheard_reader_counts_as_average():
     d = Desk()
     for n, waiting in ((1, 8000), (2, 100), (3, 9000)):
