Connection checks leave HTTP/2 engines alone: few connections, with pings of their own

Engines.check_connection() dialled them for every overdue attempt. The client of that wire finds dead connections itself (test_a_dead_connection_is_found_while_streams_wait), so a check there is not made.

--- a/claycross/upstream/calls.py
+++ b/claycross/upstream/calls.py
@@ -119,11 +119,14 @@
             {200: True, 409: False}.get(found.status) if found else None))
 
     def check_connection(self, engine: str, told: Callable[[bool], None]) -> None:
-        """Whether the engine's machine accepts a new connection; nothing is told where that was not tried."""
+        """Whether the engine's machine accepts a new connection; nothing is told where that was not tried.
+        HTTP/2 connections are kept few, and find out by themselves whether their other side lives."""
+        endpoint = self.endpoints.get(engine)
+        if endpoint is None or self.client(endpoint) is not self.http1:
+            return
+
         def work() -> None:
-            endpoint = self.endpoints.get(engine)
-            reached = self.http1.reaches(endpoint) if endpoint else None
-            if reached is not None:
+            if (reached := self.http1.reaches(endpoint)) is not None:
                 told(reached)
         self.loop.spawn(work)
 
