--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -4,6 +4,7 @@
 import pathlib
 import subprocess
 import sys
+import tomllib
 from statistics import median
 
 from claycross import policy
@@ -52,3 +53,10 @@
         return sum(seen)
 
     assert compared(80) <= 5 * compared(20)
+
+
+def test_the_package_and_the_program_name_the_same_version():
+    declared = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]["version"]
+    shown = subprocess.run([sys.executable, "-m", "claycross", "version"], cwd=ROOT, check=True,
+                           capture_output=True, text=True)
+    assert shown.stdout.split()[-1] == declared
