--- a/claycross/decide/fleet/board.py
+++ b/claycross/decide/fleet/board.py
@@ -95,7 +95,7 @@
         if (number := self.mine.pop(request, None)) is not None:
             self.later += encode(OVER, number)
 
-    def blames(self, engine: str) -> None:
+    def report_failure(self, engine: str) -> None:
         self.queue += encode(BAD, 0, self.tag(engine), 1)
 
     def due(self, now: int) -> Iterator[tuple[int, bytes]]:
@@ -170,7 +170,7 @@
         """Tokens that the other gateways are having read there, or hold there."""
         return self.sums.get((kind, self.tag(engine)), 0.0)
 
-    def blamers(self, engine: str, now: int) -> int:
+    def reporters(self, engine: str, now: int) -> int:
         """Gateways that found it unfit of late."""
         found = self.blamed.get(self.tag(engine), {})
         return sum(now - at <= BAD_LIFE * SECOND for at in found.values())
--- a/claycross/decide/fleet/sums.py
+++ b/claycross/decide/fleet/sums.py
@@ -178,7 +178,7 @@
         if found := self.work.pop(request, None):
             self.touch(found[1])
 
-    def blames(self, engine: str) -> None:
+    def report_failure(self, engine: str) -> None:
         tag = self.tag(engine)
         self.failed[tag] = self.now
         self.touch(tag)
--- a/claycross/decide/learned.py
+++ b/claycross/decide/learned.py
@@ -32,7 +32,7 @@
     sessions = list(table.sessions.items())[-MOST_SESSIONS:]
     prefixes = list(table.prefixes.items())[-MOST_PREFIXES:]
     return {
-        "at": now, "lags": list(router.lags), "home_kept": router.home_kept,
+        "at": now, "lags": list(router.lag_quantiles), "home_kept": router.home_kept,
         "recent": {role: list(health.recent[role]) for role in ROLES},
         "rates": {role: [total, at] for role, (total, at) in health.rates.items()},
         "engines": dict(list(engines.items())[:MOST_ENGINES]),
@@ -81,7 +81,7 @@
     same = {engine for engine, (_, _, at) in found["engines"].items() if started.get(engine) == at}
     fresh = not any(e.samples for e in health.engines.values())
     if fresh:  # what belongs to the whole role or to this module's own foretelling
-        router.lags = [float(x) for x in found["lags"]]
+        router.lag_quantiles = [float(x) for x in found["lags"]]
         router.home_kept = float(found["home_kept"])
         for role, paces in found["recent"].items():
             health.recent[role].extend(float(x) for x in paces)
--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -34,7 +34,7 @@
 OVERHEAD_TOKENS = 300  # fixed cost of a read (network, a step), as tokens
 READ_PACE, FIRST_TOKEN = 80_000, 150 * MS  # ns a token read, and to a writer's first, until some are seen
 CHECK_AFTER, UNREACHED = 100 * MS, 2  # beyond its expected time, an attempt's engine is dialled; failures
-PATIENCE, PATIENCE_MIN = 4.0, 400 * MS  # an attempt's, at a silent engine: times its expected time, plus
+SILENCE_TIMEOUT, SILENCE_TIMEOUT_MIN = 4.0, 400 * MS  # of an attempt: times its expected time, plus
 ALIVE, SUSPECT = 3.0, 0.5  # of it: at an engine with signs of life; after which a silent one is passed over
 BACKOFF, TIMEOUTS_BACKED_OFF = 1.5, 3  # times as long, for each time-out in a row at a role; for so many
 PACE_GAIN, TRIAL_GAIN = 0.2, 0.5  # weight of a new sample in an engine's pace, and while it is on trial
@@ -42,7 +42,7 @@
 SLOW, FAILS = 3.0, 2  # times its peers' median pace, and failures in a row, that eject
 EJECT_BASE, EJECT_MAX = SECOND, 8 * SECOND  # first ejection, doubling up to the second figure
 ASK_MOST = 3 * SECOND  # until a failed call to discovery is made again: what it tells counts after 6 s
-BLAMERS = 2  # nodes that met a failure there of late, this one included, for the same
+REPORTERS = 2  # nodes that met a failure there of late, this one included, for the same
 EJECT_SHARE, EJECT_ARRIVALS = 0.6, 4  # of a role at most, else the list is believed; arrivals it outlasts
 DIALS_FAILED, DIALS_WINDOW = 2, 2 * SECOND  # so many within so long keep to engines with open connections
 FULL_PAUSE = 150 * MS  # of a full writer
@@ -51,7 +51,7 @@
 LAG_GAIN, LAG_QUANTILES = 0.1, (0.5, 0.8)  # of the factors by which reads outlast what was foretold:
 WRITE_LAG, LIKELY, SAFE = 2.0, 0, 1  # usual first tokens kept free; quantile that refuses, that sends
 HOME_KEPT, HOME_GAIN = 0.5, 0.1  # share of a prompt found kept at its home: until seen; a sample's weight
-BLUR = 2.0  # times the sends that no sum shows yet: the most by which a cost is blurred
+LOAD_JITTER = 2.0  # times the sends that no sum shows yet: the most by which a cost is blurred
 TELL_READ = 1000  # tokens from which a read is told to the other nodes: smaller ones are over first
 COLD_SAFETY, COLD_ARRIVALS = 0.8, 0.3  # share of the cold budget used, and of arrivals taken as served
 RATE_TIME = 8 * SECOND  # over which rates are averaged
@@ -69,7 +69,7 @@
         self.n, self.engine, self.reads, self.in_place, self.sent = n, engine, reads, in_place, sent
         self.work, self.expected, self.claimed = work, expected, claimed
         self.home = home  # sent to a home of what this node does not know
-        self.patience = int(PATIENCE * backoff * expected + PATIENCE_MIN)
+        self.silence_timeout = int(SILENCE_TIMEOUT * backoff * expected + SILENCE_TIMEOUT_MIN)
         self.check_at = sent + int(expected) + CHECK_AFTER  # whether its engine can be reached
         self.checked, self.unreached = False, 0  # a check is under way or was passed; checks that failed
         self.blamed = False  # its engine, for silence, while it is still waited for
@@ -136,7 +136,7 @@
     def __init__(self, settings: Settings, rng: random.Random):
         self.settings, self.rng = settings, rng
         self.engines: dict[str, Engine] = {}
-        self.blames: Callable[[str], None] = lambda engine: None  # tells the other nodes of a failure
+        self.report_failure: Callable[[str], None] = lambda engine: None  # tells the other nodes of a failure
         self.recent = {role: deque([float(READ_PACE if role == "read" else FIRST_TOKEN)], maxlen=RECENT)
                        for role in ("read", "write", "both")}  # the last paces, after a starting value
         self.timeouts = Counter[str]()  # role -> those in a row that no sign of life came after
@@ -187,7 +187,7 @@
 
     def bad(self, e: Engine, now: int, silent: bool = False) -> None:
         if not (silent and self.cold(e, now)):  # a cold one that is slow to answer is no one else's concern
-            self.blames(e.id)
+            self.report_failure(e.id)
         e.fails += 1 if now - e.heard < EJECT_MAX else FAILS  # met too seldom to wait for a second failure
         if e.fails >= FAILS or e.ejections:
             self.eject(e, now)
@@ -204,7 +204,7 @@
         e.ejections, e.fails = e.ejections + 1, 0  # the pace stays: time-outs must grow while all are slow
 
     def silent(self, e: Engine, a: Attempt, now: int, share: float = 1.0) -> bool:
-        return e.heard < a.sent and now - a.sent > a.patience * share  # overdue, and no sign of life since
+        return e.heard < a.sent and now - a.sent > a.silence_timeout * share  # no sign of life since
 
     def well(self, e: Engine, now: int) -> bool:
         """Once its ejection is over an engine is half-open: one real request at a time."""
@@ -218,7 +218,7 @@
         well = [e for e in ready if self.well(e, now)]
         if len(well) < len(ready) * (1 - EJECT_SHARE):
             well = ready  # a judgement against so many is more likely wrong, or leaves nothing better
-        return [e for e in well if self.cold_room(e, now) > 0]
+        return [e for e in well if self.slow_start_budget(e, now) > 0]
 
     def cold(self, e: Engine, now: int) -> bool:
         return e.entry.started_at > 0 and now - e.entry.started_at < self.settings.warm_after
@@ -228,7 +228,7 @@
         s, age = self.settings, self.now - e.entry.started_at
         return s.cold_from + (1 - s.cold_from) * age / s.warm_after if self.cold(e, self.now) else 1.0
 
-    def cold_room(self, e: Engine, now: int) -> float:
+    def slow_start_budget(self, e: Engine, now: int) -> float:
         """Sends that a cold engine may still get in this window (rule 4); without end for a warm one.
 
         What this node gets served by a warm peer is its slice of what such an engine carries (sends would not
@@ -301,14 +301,13 @@
         self.board = (Sums(settings.nodes, tag, settings.me, memory) if self.tells and
                       settings.nodes > settings.sums_above else Board(settings.nodes, tag))
         if self.tells:
-            self.health.blames = self.board.blames
+            self.health.report_failure = self.board.report_failure
         self.requests: dict[int, Request] = {}
-        self.held: dict[int, Request] = {}  # waiting before a read
+        self.held: dict[int, Request] = {}  # queued, before a read
         self.staged: dict[int, Request] = {}  # read, waiting for a writer
         self.sweep_at = self.aged = self.list_fails = 0
-        self.lags, self.started = [1.0, 1.0], False
-        self.home_kept = HOME_KEPT
-        self.zones = ZoneReachability()
+        self.lag_quantiles, self.started = [1.0, 1.0], False
+        self.home_kept, self.zones = HOME_KEPT, ZoneReachability()
         self.dials_failed = deque[int](maxlen=DIALS_FAILED)  # when the last ones did
         self.logged: dict[str, int] = {}
         self.handlers = {Outcome: self.on_outcome, Arrival: self.on_arrival, StreamBegan: self.on_began,
@@ -322,8 +321,8 @@
         self.health.memo, self.health.now = {}, now
         for event in events:
             self.handlers.get(type(event), lambda _: None)(event)
-        self.pump()
-        self.arm()
+        self.dispatch()
+        self.schedule_timers()
         if self.tells:
             self.acts += (Tell(payload, to) for to, payload in self.board.due(self.now))
             self.acts += map(Log, self.board.news)
@@ -361,7 +360,7 @@
         so it takes two voices, and only failures are told, never slowness, which is mostly load."""
         for found in self.board.hear(self.now, event.peer, event.payload):
             for e in [e for e in self.health.engines.values() if self.board.tag(e.id) == found]:
-                if self.board.blamers(e.id, self.now) + min(1, e.fails) >= BLAMERS:
+                if self.board.reporters(e.id, self.now) + min(1, e.fails) >= REPORTERS:
                     self.health.eject(e, self.now)
 
     def drop(self, engine: str) -> None:
@@ -419,7 +418,7 @@
         if not event.reached and (e := self.health.engines.get(event.engine)):
             for a in e.pending.values():
                 a.unreached, a.checked = a.unreached + 1, False
-                a.patience = 0 if a.unreached >= UNREACHED else a.patience
+                a.silence_timeout = 0 if a.unreached >= UNREACHED else a.silence_timeout
 
     def on_abandoned(self, event: Abandoned) -> None:
         if r := self.requests.get(event.request):
@@ -488,8 +487,8 @@
             self.health.good(e)
             if event.result == "read":
                 self.health.count(e.role, self.now, self.health.cold(e, self.now))
-                self.lags = [lag * (1 + LAG_GAIN * (q - (event.took <= a.expected * lag)))
-                             for lag, q in zip(self.lags, LAG_QUANTILES, strict=True)]
+                self.lag_quantiles = [lag * (1 + LAG_GAIN * (q - (event.took <= a.expected * lag)))
+                             for lag, q in zip(self.lag_quantiles, LAG_QUANTILES, strict=True)]
                 work = a.ahead + max(0, r.event.prompt - event.found_kept) + OVERHEAD_TOKENS
                 self.health.sample(e, event.took / work, self.now)
                 if a.home and r.event.prompt:
@@ -551,12 +550,12 @@
         """The one gate: every send passes here, and all rules that forbid one are checked here."""
         if (r.stage == "ended" or self.now >= r.deadline or len(r.attempts) >= self.s.max_attempts
                 or (r.out and not self.s.may_duplicate) or e.entry.condition != "ready"
-                or self.health.cold_room(e, self.now) <= 0 or not self.allowed(r, e)):
+                or self.health.slow_start_budget(e, self.now) <= 0 or not self.allowed(r, e)):
             return False
         in_place = not reads and r.state_at is None
         backoff = BACKOFF ** min(self.health.timeouts[e.role], TIMEOUTS_BACKED_OFF)
         a = Attempt(len(r.attempts), e, reads, in_place, self.now, work, expected, claimed, home, backoff)
-        timeout = int(a.patience * ALIVE) if self.s.may_cancel else a.patience
+        timeout = int(a.silence_timeout * ALIVE) if self.s.may_cancel else a.silence_timeout
         if not self.elsewhere(r, a):
             timeout = r.deadline - self.now
         ran = self.risky(r) if r.cls.effect == "keyed" else []
@@ -630,7 +629,8 @@
 
     def in_time(self, r: Request, reading: float, lag: int, first: float = 1.0) -> bool:
         """Corrected by how much longer reads took of late than foretold: other nodes' work is not seen."""
-        return self.now + reading * max(1.0, self.lags[lag]) + first * self.health.typical("write") <= r.aim
+        reading *= max(1.0, self.lag_quantiles[lag])
+        return self.now + reading + first * self.health.typical("write") <= r.aim
 
     def pick_reader(self, r: Request, readers: list[Engine]) -> tuple[Engine, int, int, bool]:
         """E2: exploit the holder of the longest match, or explore by load + eviction + running cost.
@@ -665,7 +665,7 @@
             share = e.report.memory_share if e.report else None
             eviction = self.table.credit.get(e.id, 0) * (MEMORY_UNKNOWN if share is None else share)
             running = (event.prompt - likely[e.id]) * self.health.slowness(e)
-            running *= 1 + self.blur(r, e)
+            running *= 1 + self.load_jitter(r, e)
             return loads[e.id] + EVICTION_WEIGHT * eviction + running
         chosen = min(readers, key=lambda e: (cost(e), -rank(event.session or str(r.id), e.id)))
         if holders:
@@ -681,13 +681,13 @@
         share = e.report.memory_share if e.report else None
         return sum(e.streams.values()) + (self.board.others(WRITE, e.id) or (share or 0.0) * e.memory)
 
-    def blur(self, r: Request, e: Engine) -> float:
-        """Up to BLUR times the sends to each engine of the role that no node knows of yet. Departure: costs
-        are blurred by so much. Guards against nodes whose sums are as late and that all choose the engine
+    def load_jitter(self, r: Request, e: Engine) -> float:
+        """Up to LOAD_JITTER times the sends to each engine of the role that no node knows of yet. Departure:
+        costs vary by so much. Guards against nodes whose sums are as late and that all choose the engine
         which looked best a moment ago; it could choose a little worse, by what may have come meanwhile."""
         unseen = self.health.once("unseen", e.role, lambda: self.board.unseen(
             self.health.rate("", self.now), len(self.health.peers(e.role))))
-        return BLUR * unseen * rank(str(r.id), e.id) if unseen else 0.0
+        return LOAD_JITTER * unseen * rank(str(r.id), e.id) if unseen else 0.0
 
     def sharing(self) -> int:
         """Nodes among which room must be divided: none has to stay for those whose work is known."""
@@ -727,14 +727,14 @@
 
         def fullness(e: Engine) -> float:
             far = OTHER_CELL * (cell not in (None, e.entry.cell)) + OTHER_ZONE * (e.entry.zone != zone)
-            likely = self.projected(e) + self.blur(r, e) * r.need
+            likely = self.projected(e) + self.load_jitter(r, e) * r.need
             return likely / max(1, e.memory) * self.health.slowness(e) + far
         return min(fit, key=lambda e: (fullness(e), -rank(str(r.id), e.id)), default=None)
 
     def held_long(self, r: Request) -> bool:  # rule 5: what is held must be let go before long
         return self.now - r.settled > HOLD_STATE * self.s.release_within
 
-    def pump(self) -> None:
+    def dispatch(self) -> None:
         """Sends on what is staged, then starts the reads for which there is room."""
         for r in list(self.staged.values()):
             # Guards rule 5, whose time runs on while dials fail: after one none begins that might end too
@@ -810,7 +810,7 @@
         return self.send(r, e, False, 0.0, expected)
 
     def watch(self, r: Request, a: Attempt) -> None:
-        """Checks, calls off or blames an attempt that is overdue."""
+        """Checks, calls off or report_failure an attempt that is overdue."""
         e = a.engine
         if not self.health.silent(e, a, self.now):
             if self.s.may_check_connections and e.heard < a.sent and a.check_at <= self.now and not a.checked:
@@ -823,7 +823,7 @@
             a.blamed = True
             self.health.bad(e, self.now, silent=True)
 
-    def arm(self) -> None:  # keeps one sweep timer running while anything is open
+    def schedule_timers(self) -> None:  # keeps one sweep timer running while anything is open
         if self.s.may_cancel:  # a silent engine's: the dead send no reset, so it is tried elsewhere
             for r in self.requests.values():
                 for a in r.attempts:
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -92,8 +92,8 @@
     b = board()
     for sender in (0, 0, 2):
         b.hear(SECOND, sender, encode(BAD, 0, 7, 1))
-    assert b.blamers("e1", SECOND) == 2 and b.blamers("e2", SECOND) == 0
-    assert b.blamers("e1", 9 * SECOND) == 0
+    assert b.reporters("e1", SECOND) == 2 and b.reporters("e2", SECOND) == 0
+    assert b.reporters("e1", 9 * SECOND) == 0
 
 
 def test_silence_is_told_from_idleness():
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -274,7 +274,7 @@
     r1.reading, r3.reading = 11_000.0, 9000.0  # neither over twice the mean
     d.router.table.record_read(Arrival(0, "ask", SECOND, 1000, prefix="p", prefix_tokens=520), "r1", d.now)
     assert sends(d.ask(1, prefix="p", prefix_tokens=520))[0].engine == "r1"
-    d.router.lags = [1.0, 2.2]
+    d.router.lag_quantiles = [1.0, 2.2]
     r1.reading, r3.reading = 11_000.0, 8000.0
     assert sends(d.ask(2, prefix="p", prefix_tokens=520))[0].engine == "r3"
     r1.reading, r3.reading = 15_000.0, 14_000.0  # both late: held for its holder
@@ -287,7 +287,7 @@
     d.router.health.engines["r1"].reading = 60_000.0  # 4.9 s at the pace assumed, with an aim of 2 s
     assert Refuse in kinds(d.ask(1))
     d.router.health.engines["r1"].reading = 15_000.0  # 1.3 s
-    d.router.lags = [1.0, 1.9]
+    d.router.lag_quantiles = [1.0, 1.9]
     assert not {Refuse, *map(type, sends(d.ask(2)))} & set(kinds(d.ask(3)))
     d.router.health.engines["r1"].reading = 100.0
     assert [a.request for a in sends(d.wait(50 * MS))] == [2, 3]
--- a/tests/test_learned.py
+++ b/tests/test_learned.py
@@ -31,7 +31,8 @@
     assert named == len([e for e in old.router.health.engines.values() if e.samples])
     for role in ("read", "write"):
         assert new.router.health.typical(role) == pytest.approx(old.router.health.typical(role))
-    assert new.router.lags == old.router.lags and new.router.home_kept == old.router.home_kept
+    assert new.router.lag_quantiles == old.router.lag_quantiles
+    assert new.router.home_kept == old.router.home_kept
     assert new.router.table.sessions == old.router.table.sessions
     assert new.router.table.prefixes == old.router.table.prefixes
     assert new.router.table.credit == {r: c for r, c in old.router.table.credit.items() if c}
@@ -53,11 +54,11 @@
     again.do(EngineList("full", [entry(n) for n in READERS + WRITERS]))
     again.serve(1, session="mine")
     own = {e.id: (e.pace, e.samples) for e in again.router.health.engines.values() if e.samples}
-    lags = list(again.router.lags)
+    lags = list(again.router.lag_quantiles)
     learned.teach(again.router, learned.lessons(old.router, old.now), again.now)
     assert {e: (again.router.health.engines[e].pace, again.router.health.engines[e].samples)
             for e in own} == own
-    assert again.router.lags == lags
+    assert again.router.lag_quantiles == lags
 
 
 @pytest.mark.parametrize(("spoil", "why"), [
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -111,7 +111,7 @@
     d = Desk(engines=[*names, "w1"], nodes=60, peers=True)
     for e, queued in zip(order, (90_000.0, 30_000.0, 30_000.0, 17_500.0), strict=True):
         d.router.health.engines[e].reading = queued
-    d.router.lags = [1.0, 3.0]  # late for certain nowhere, and nowhere surely in time
+    d.router.lag_quantiles = [1.0, 3.0]  # late for certain nowhere, and nowhere surely in time
     r = d.router
     r.now = r.health.now = d.now
     asked = Request(_arrival(prefix="p", prefix_tokens=900), r.s.classes["ask"], d.now, 0)
--- a/tests/test_sums.py
+++ b/tests/test_sums.py
@@ -296,21 +296,21 @@
     third = Sums(60, tag_of, next(n for n in range(60) if n not in (collector.me, other.me)))
     exchange(now + 50 * MS, collector, third)
     for b in (other, third)[:voices]:
-        b.blames("s-7")
+        b.report_failure("s-7")
     told = []
     for k in range(1, 6):
         told += exchange(now + k * 100 * MS, collector, other, third)
     assert (tag_of("s-7") in told) == (voices == 2)
-    assert other.blamers("s-7", now + 600 * MS) == (2 if voices == 2 else 0)
+    assert other.reporters("s-7", now + 600 * MS) == (2 if voices == 2 else 0)
     other.age(now + (BAD_LIFE + 2) * SECOND)
-    assert other.blamers("s-7", now + (BAD_LIFE + 2) * SECOND) == 0
+    assert other.reporters("s-7", now + (BAD_LIFE + 2) * SECOND) == 0
 
 
 def test_who_meets_the_same_failure_again_and_again_is_one_voice():
     now, collector, other = pair()
     told = []
     for k in range(1, 30):
-        other.blames("s-7")
+        other.report_failure("s-7")
         told += exchange(now + k * 100 * MS, collector, other)
     assert not told
 
