A pipelined request has the time that is left to its client, and is read as its turn comes

Lines at fault: Front.read counted a request's time from its turn (`came or now`); Front.wait closed the connection once over 64 KiB followed.

Change: decide/receive_times.py knows when each unconsumed byte of a connection was received; Front.wait stops reading at the bound and waits for the end of what comes (POLLRDHUP) alone.

--- a/claycross/fronts/base.py
+++ b/claycross/fronts/base.py
@@ -10,7 +10,8 @@
 import contextlib
 
 from ..core import Core, Request
-from ..net.http1 import LAST_CHUNK, Body, Head, Malformed, Messages, answer, chunk
+from ..decide.receive_times import ReceiveTimes
+from ..net.http1 import LAST_CHUNK, Body, End, Head, Malformed, Messages, answer, chunk
 from ..net.loop import MS, SECOND, Closed, Conn, Interrupted, Listener, Loop, TimedOut
 
 STALL = 20 * SECOND  # a client that takes nothing for so long has gone
@@ -18,7 +19,7 @@
 ARRIVAL = 2200 * MS  # from the first byte (at first: from connecting) until a request is whole
 LINGER, LINGER_BYTES = 300 * MS, 1 << 20  # of reading on after the sending side was shut down
 PACE, PACE_MOST = 200 * MS, 1600 * MS  # until the next error in a row on a connection is said; doubles
-MOST_AHEAD = 65_536  # bytes that a client may send behind a request that is under way
+MOST_AHEAD = 65_536  # bytes read ahead behind a request that is under way; more waits in the socket
 
 # The states of a client's connection (docs/lifecycles.md); the later ones make way first when there are too
 # many. Its own task alone moves it on, and ends it by Front.end(); from ENDING on nothing of it is taken.
@@ -38,6 +39,36 @@
     return [("Content-Type", "text/plain; charset=utf-8")], why.encode() + b"\n"
 
 
+class Inbox:
+    """What a client has sent on its connection: its messages, and since when what is not consumed waits."""
+
+    def __init__(self) -> None:
+        self.messages = Messages()
+        self.times = ReceiveTimes()
+
+    def next(self) -> list[Head | Body | End]:
+        """The parts of the next message that are here already."""
+        return self.messages.next()
+
+    def feed(self, data: bytes, at: int) -> list[Head | Body | End]:
+        """The parts of the message at hand, with these bytes."""
+        self.times.add(len(data), at)
+        return self.messages.feed(data)
+
+    def keep(self, data: bytes, at: int) -> None:
+        """Bytes of later messages, for their turn."""
+        self.times.add(len(data), at)
+        self.messages.buffer += data
+
+    def full(self) -> bool:
+        """Whether no more is to be read before its turn."""
+        return len(self.messages.buffer) >= MOST_AHEAD
+
+    def since(self) -> int:
+        """When the first byte of what waits was received; 0 if nothing waits."""
+        return self.times.oldest(len(self.messages.buffer))
+
+
 class Exchange:
     """One request on a client's connection, and the core's way to answer it."""
 
@@ -153,11 +184,12 @@
             conn.interrupt()
 
     def serve(self, conn: Conn) -> None:
-        messages, errors = Messages(), 0
+        inbox, errors = Inbox(), 0
+        messages = inbox.messages
         try:
             while not conn.closed:
                 try:
-                    if not self.one(conn, messages, first=not messages.seen):
+                    if not self.one(conn, inbox, first=not messages.seen):
                         break
                     errors = 0
                 except Bad as bad:
@@ -208,9 +240,9 @@
             except Interrupted:  # left over from the answer before
                 continue
 
-    def one(self, conn: Conn, messages: Messages, first: bool) -> bool:
+    def one(self, conn: Conn, inbox: Inbox, first: bool) -> bool:
         """One request and its answer; False when the connection is to be closed, Bad if it is turned away."""
-        head, body, came = self.read(conn, messages, first)
+        head, body, came = self.read(conn, inbox, first)
         if head is None:
             return False
         self.mark(conn, BUSY)
@@ -219,12 +251,13 @@
         if taken is None:
             return not (close or self.draining)
         opened, exchange = taken
-        self.wait(conn, messages, opened, exchange)
+        self.wait(conn, inbox, opened, exchange)
         return not exchange.close_after and not conn.closed  # told so or not: what was not told is answered
 
-    def read(self, conn: Conn, messages: Messages, first: bool) -> tuple[Head | None, bytes, int]:
-        head, body, came, parts = None, [], 0, messages.next()
-        start = self.loop.now()
+    def read(self, conn: Conn, inbox: Inbox, first: bool) -> tuple[Head | None, bytes, int]:
+        """The next request and when its first byte was received; no head when the connection is to end."""
+        messages, start = inbox.messages, self.loop.now()
+        head, body, came, parts = None, [], inbox.since(), inbox.next()
         at = SILENT if first else IDLING
         self.mark(conn, at if messages.idle() else ASKING)
         while True:
@@ -240,7 +273,7 @@
             idle = head is None and messages.idle()
             if idle and self.shedding and not first and conn.quiet():
                 return None, b"", 0
-            since = start if first or not came else came
+            since = start if first else max(start, came)  # what waited for its turn has its time from then on
             try:
                 data = conn.recv(max(MS, since + (IDLE if idle else ARRIVAL) - self.loop.now()))
             except Interrupted:  # left over from the answer before
@@ -256,21 +289,22 @@
             if not came:
                 came = conn.read_at
                 self.mark(conn, ASKING)
-            parts = messages.feed(data)
+            parts = inbox.feed(data, conn.read_at)
 
-    def wait(self, conn: Conn, messages: Messages, opened: Request, exchange: Exchange) -> None:
-        """Until the answer is out; meanwhile the end of what the client sends is its going away."""
+    def wait(self, conn: Conn, inbox: Inbox, opened: Request, exchange: Exchange) -> None:
+        """Until the answer is out; meanwhile the end of what the client sends is its going away. Of what
+        follows the request only so much is read: the rest waits in the socket, and holds up its sender."""
         try:
             while not exchange.over:
                 try:
-                    data = conn.recv()
+                    if inbox.full():
+                        conn.wait_for_hang_up()
+                    elif data := conn.recv():
+                        inbox.keep(data, conn.read_at)
+                    else:
+                        raise Closed("the client left")
                 except Interrupted:
                     continue
-                if not data:
-                    raise Closed("the client left")
-                messages.buffer += data
-                if len(messages.buffer) > MOST_AHEAD:
-                    raise Closed("the client sends more than it may")
             if exchange.out:
                 conn.send(exchange.out, STALL)
         except Closed:
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -27,7 +27,8 @@
 LATE = 40 * MS  # a round or a timer later than this is logged
 READ_SIZE = 16_384  # small, so that a greedy sender gets few bytes a turn
 A_ROUND = 64  # connections accepted at once
-HUNG = select.POLLIN | select.POLLHUP | select.POLLERR | select.POLLNVAL
+HANG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
+READABLE = select.POLLIN | HANG_UP
 
 
 class Closed(Exception):
@@ -336,6 +337,7 @@
         self.reader: Task | None = None
         self.writer: Task | None = None
         self.mask, self.closed, self.interrupted = 0, False, False
+        self.hang_up_only = False  # the reader waits for the end of what comes, not for bytes
         self.idle: Callable[[], None] | None = None  # called once if anything happens while nobody reads
         self.read_at = 0  # when the loop saw the last bytes
 
@@ -358,7 +360,9 @@
 
     def watch(self) -> None:
         mask = 0
-        if self.reader or self.idle:
+        if self.reader and self.hang_up_only:
+            mask |= select.POLLRDHUP
+        elif self.reader or self.idle:
             mask |= select.POLLIN
         if self.writer:
             mask |= select.POLLOUT
@@ -367,13 +371,13 @@
             self.loop.watch(self.sock.fileno(), mask, self.ready)
 
     def ready(self, mask: int) -> None:
-        if self.reader and mask & HUNG:
+        if self.reader and mask & READABLE:
             self.loop.wake(self.reader)
             self.reader = None
         if self.writer and mask & (select.POLLOUT | select.POLLHUP | select.POLLERR):
             self.loop.wake(self.writer)
             self.writer = None
-        if self.idle and mask & HUNG:
+        if self.idle and mask & READABLE:
             idle, self.idle = self.idle, None
             idle()
         self.watch()
@@ -406,8 +410,24 @@
         if late:
             raise TimedOut("not ready in time")
 
+    def wait_for_hang_up(self) -> None:
+        """Reads nothing; raises Closed once the other side ended its sending or the connection broke, and
+        Interrupted after interrupt()."""
+        while not self.interrupted:
+            if self.closed:
+                raise Closed("closed")
+            self.hang_up_only = True
+            try:
+                self.wait(True)
+            finally:
+                self.hang_up_only = False
+            if not self.interrupted:
+                raise Closed("the other side ended")
+        self.interrupted = False
+        raise Interrupted
+
     def interrupt(self) -> None:
-        """Gets the reading task out of recv(), now or as soon as it would wait there."""
+        """Gets the reading task out of its wait, now or as soon as it would wait."""
         self.interrupted = True
         self.loop.wake(self.reader)
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -3,7 +3,10 @@
 import threading
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from claycross.decide.receive_times import MOST_MARKS, ReceiveTimes
 from standins.servers import Engine, eventually, passes
 
 
@@ -56,3 +59,37 @@
         passes(0.3)
         writer.go_on.set()
         assert [c.answer().status, c.answer().status] == [200, 200]
+
+
+def test_a_client_that_leaves_behind_much_unread_is_noticed(site, writer):
+    """What follows its request is not read to the end, yet nothing more is sent for it."""
+    readers = [Engine("p")]
+    s = site(*readers, writer, release=True)
+    c = s.client()
+    c.sock.sendall(request("first"))
+    eventually(lambda: writer.asked)
+    c.sock.sendall(request("second", body=b"x" * 200_000))
+    passes(0.2)
+    c.__exit__()
+    eventually(lambda: all(w.ended for w in writer.wires))
+    passes(0.3)
+    assert [m["x-request-id"] for m in readers[0].asked] == ["first"]
+
+
+@given(reads=st.lists(st.tuples(st.integers(1, 50), st.integers(0, 5)), max_size=60), data=st.data())
+def test_no_byte_is_said_to_be_younger_than_it_is(reads, data):
+    times, true, now = ReceiveTimes(), [], 0
+    for size, wait in reads:
+        now += wait + 1
+        times.add(size, now)
+        true += [now] * size
+        pending = data.draw(st.integers(0, len(true)))
+        true = true[len(true) - pending:]
+        assert times.oldest(pending) == (true[0] if true else 0)
+
+
+def test_many_small_reads_are_bounded_and_count_as_older():
+    times = ReceiveTimes()
+    for at in range(1, 3 * MOST_MARKS):
+        times.add(1, at)
+    assert len(times.marks) == MOST_MARKS and times.oldest(1) <= MOST_MARKS
