A discovery slower than a second to its first word is heard

Seen: tests/test_slow_discovery.py on the program before: a discovery that answers each watch after 1.4 s was never heard, for every watch is given up at 1 s and the next one begins anew.

Ruled out: the dial (it is up at once), the back-off (0.1 s).

Line at fault: Discovery.values gave each first word FIRST_WORD, whatever was learned of it.

Change: a watch that is given up before its first word is listened to until 3 s after it was asked, and what it took is what later watches, also the one under way, are given (FirstWord). A discovery that is silent is asked as often as before.

--- a/claycross/membership/discovery.py
+++ b/claycross/membership/discovery.py
@@ -7,7 +7,9 @@
 
 What discovery has counts as told 6 s after it had it, whether it arrived or not. A watch that falls silent is
 given up QUIET after its last whole word, one that says nothing at all after FIRST_WORD; with the pauses and a
-dial between them, a first watch that falls silent and a second that never speaks leave time for a third.
+dial between them, a first watch that falls silent and a second that never speaks leave time for a third. A
+discovery that is slower than FIRST_WORD is told from a silent one by the watches that were given up: they are
+listened to for a while longer, and the first word's time is what the next ones are given.
 """
 
 from __future__ import annotations
@@ -25,6 +27,7 @@
 ListTaker = Callable[[i.EngineList, dict[str, Endpoint]], None]
 DIAL, BACK_OFF, LONGEST_BACK_OFF = SECOND, 100 * MS, SECOND
 QUIET, FIRST_WORD = 3 * SECOND, SECOND  # a watch says something every 2 s, and answers at once
+LATEST_FIRST_WORD, FIRST_WORD_MARGIN = 3 * SECOND, 2  # the most waited for; times the last that was seen
 LOGGED = 10  # of tries that fail one after the other, the first and every such one is a line in the log
 MAX_LINE = 4 << 20
 STATES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
@@ -80,6 +83,42 @@
         float(t.get("capacity_hint") or 1)), endpoint
 
 
+class FirstWord:
+    """How long a watch is given for its first word: `least`, or some times what the last one took."""
+
+    def __init__(self, least: int, most: int):
+        self.least, self.most, self.span = least, max(least, most), least
+
+    def seen(self, took: int) -> None:
+        """A first word came so long after it was asked for, be it on a watch that was given up."""
+        self.span = min(self.most, max(self.least, FIRST_WORD_MARGIN * took))
+
+
+class ValueFeed:
+    """The values in the bytes of one HTTP answer; Junk where it is no answer, or not the one asked for."""
+
+    def __init__(self) -> None:
+        self.messages = Messages(responses=True, max_body=1 << 62, max_chunk=MAX_LINE)
+        self.values = Values(MAX_LINE)
+        self.ended = False  # the answer is whole
+
+    def take(self, data: bytes) -> list[bytes]:
+        """The values that these bytes complete."""
+        found: list[bytes] = []
+        try:
+            for part in self.messages.feed(data):
+                if isinstance(part, Head) and part.status != 200:
+                    raise Junk(f"status {part.status}")
+                if isinstance(part, Body):
+                    found += self.values.feed(part.data)
+                if isinstance(part, End):
+                    found.append(self.values.end())
+                    self.ended = True
+        except (TooLong, Malformed) as err:
+            raise Junk(str(err)) from None
+        return found
+
+
 class Discovery:
     """Watches the platform's discovery, for ever (or, asked once, until the watch breaks)."""
 
@@ -94,6 +133,7 @@
         self.turn = self.heard = 0  # moves to another address so far, and the last that has told something
         self.conns: dict[int, Conn] = {}  # by turn: two while a move is on
         self.asking = -1  # the turn in which the module's watch is under way
+        self.first_word_wait = FirstWord(self.first_word, LATEST_FIRST_WORD)
 
     def start_from(self, known: Any) -> None:
         """The list as this gateway had it last."""
@@ -169,36 +209,55 @@
         line between two, is a sign of life: bytes that never make one are not."""
         turn, address = self.turn, self.address
         conn = Conn.dial(self.loop, address, self.dial)
+        feed, given_up = ValueFeed(), False
         try:
             if turn != self.turn:
                 raise Closed("it has moved meanwhile")
             self.conns[turn] = conn
             headers = [("Host", f"{address[0]}:{address[1]}")]
             conn.send(request(method, target, headers, body), self.dial)
-            messages = Messages(responses=True, max_body=1 << 62, max_chunk=MAX_LINE)
-            values, until = Values(MAX_LINE), self.loop.now() + self.first_word
-            while (left := until - self.loop.now()) > 0 and (data := conn.recv(left)):
-                for part in messages.feed(data):
-                    if isinstance(part, Head) and part.status != 200:
-                        raise Junk(f"status {part.status}")
-                    if isinstance(part, Body) and (found := values.feed(part.data)):
-                        until = self.loop.now() + self.quiet
-                        if any(found):
-                            self.told_something(turn)
-                        yield from found
-                    if isinstance(part, End):
-                        yield values.end()
-                        return
-            raise Closed("the connection ended" if left > 0 else "silent")
-        except TimedOut:
-            raise Closed("silent") from None
-        except TooLong as err:
-            raise Junk(str(err)) from None
+            asked, heard = self.loop.now(), 0
+            while not feed.ended:
+                until = heard + self.quiet if heard else asked + self.first_word_wait.span
+                if (left := until - self.loop.now()) <= 0:
+                    given_up = not heard
+                    raise Closed("silent")
+                try:
+                    data = conn.recv(left)
+                except TimedOut:
+                    continue  # what it is given may be longer by now
+                if not data:
+                    raise Closed("the connection ended")
+                if found := feed.take(data):
+                    if not heard:
+                        self.first_word_wait.seen(self.loop.now() - asked)
+                    heard = self.loop.now()
+                    if any(found):
+                        self.told_something(turn)
+                    yield from found
         finally:
-            conn.close()
+            if given_up:
+                self.loop.spawn(self.listen_on, conn, feed, asked)
+            else:
+                conn.close()
             if self.conns.get(turn) is conn:
                 del self.conns[turn]
 
+    def listen_on(self, conn: Conn, feed: ValueFeed, asked: int) -> None:
+        """Of a watch that was given up before its first word: how late that is, if it comes at all."""
+        wait = self.first_word_wait
+        try:
+            while (left := asked + wait.most - self.loop.now()) > 0 and (data := conn.recv(left)):
+                if feed.take(data):
+                    took = self.loop.now() - asked
+                    wait.seen(took)
+                    self.log(f"discovery-slow first_word_ms={took // MS} given_ms={wait.span // MS}")
+                    return
+        except Junk:
+            return
+        finally:
+            conn.close()
+
     def told_something(self, turn: int) -> None:
         """The watch of that turn speaks: those of earlier addresses have been waited for."""
         if turn > self.heard:
