What an operator was answered ok is kept: merged under a lock, synced, by one owner

A ban answered ok was lost where the write failed for a moment (ENOSPC, EIO), where the wall clock was stepped by an hour between two processes or back by 10 s, and where the file was not written yet at a kill.

Ruled out: short writes (Python's buffered file goes on), torn files (refused by their check sum, the older one stands).

Lines at fault: Handover.save replaced whatever was there by what this process held and removed all older generations; Gateway.keep did not look whether it was written, and tried again after 10 s; decide/handover.py judged bans by the wall clocks of two processes.

Change: StateKeeper owns the state, the changes that are not kept yet and the one thread that writes; each write merges the operators' changes into the newest state on the disk under the folder's lock (flock, which ends with the process), syncs file and folder, and is tried again from 40 ms on. A call waits 0.7 s for that and says so honestly otherwise. Bans and drains have no age; lessons are used only where both processes read one monotonic clock (boot_id).

--- a/claycross/decide/bans.py
+++ b/claycross/decide/bans.py
@@ -27,12 +27,13 @@
     good: bool
     text: str
     news: EngineList | None = None
+    changed: bool = False  # whether there is one ban more or less than before
 
 
 class Bans:
     def __init__(self, remembered: int = MOST_REMEMBERED, most: int = MOST_BANNED):
         self.remembered, self.most = remembered, most
-        self.banned: dict[str, int] = {}  # engine -> since when (the caller's clock, in ns)
+        self.banned: dict[str, int] = {}  # engine -> since when (Unix time in ns, for people)
         self.told: dict[str, EngineEntry] = {}  # the entry that discovery told last, of engines listed now
         self.ever: OrderedDict[str, None] = OrderedDict()  # engines ever listed, the last told at the end
 
@@ -78,7 +79,7 @@
         self.banned[engine] = now
         entry = self.told.get(engine)
         news = EngineList("changes", [self.seen(entry)]) if entry else None
-        return Verdict(True, f"{engine} is out", news)
+        return Verdict(True, f"{engine} is out", news, True)
 
     def up(self, engine: str) -> Verdict:
         if engine not in self.banned:
@@ -88,7 +89,7 @@
         del self.banned[engine]
         entry = self.told.get(engine)
         news = EngineList("changes", [replace(entry)]) if entry else None
-        return Verdict(True, f"{engine} is back", news)
+        return Verdict(True, f"{engine} is back", news, True)
 
     def out(self) -> list[str]:
         """Banned engines that the list names now."""
--- a/claycross/decide/handover.py
+++ b/claycross/decide/handover.py
@@ -1,22 +1,22 @@
 """What one process of a gateway hands to the next: which state is trusted, and which of two is newer.
 
 Owns the form of the state that outlives a process (bans by hand, whether the gateway is drained), its bounds,
-and the judgement of a state that was read back: of this format, of this gateway, recent, within its bounds,
-or refused with a reason. It must never trust what it can't check, nor read files or clocks: the bytes' check
-sum and the time come in from the caller.
+the changes that operators make to it, and the judgement of a state that was read back: of this format, of
+this gateway, within its bounds, or refused with a reason. Bans and drains hold until an operator lifts them:
+no clock ends them. It must never trust what it can't check, nor read files or clocks: the bytes' check sum
+and the time come in from the caller.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from enum import StrEnum
 from typing import Any
 
 FORMAT = 2  # of the state; another is refused as old or foreign, never read in part
 MOST_BANS = 1_024
 LONGEST_ID = 128
-OLDEST = 3_600 * 1_000_000_000  # ns: a state not written again for so long was left by a process long gone
-AHEAD = 5 * 1_000_000_000  # ns: clocks of two processes on one machine agree; a state from further on is junk
-REFRESH = 10 * 1_000_000_000  # ns: a running process writes its state again so often, that it stays recent
 
 
 @dataclass(slots=True)
@@ -24,13 +24,31 @@
     """The state itself. `sequence` rises with every change, whichever process makes it."""
 
     sequence: int = 0
-    written: int = 0  # Unix time in ns
+    written: int = 0  # Unix time in ns, for the log alone: wall clocks are stepped
     bans: dict[str, int] = field(default_factory=dict)  # engine -> since when, Unix time in ns
     drained: bool = False
     writer: int = 0  # the process that wrote it, for the log
     learned: dict[str, Any] | None = None  # what the module learned, judged apart (decide/learned.py)
 
 
+class ChangeKind(StrEnum):
+    """What an operator can change of the state."""
+
+    SET_DOWN = "set-down"
+    SET_UP = "set-up"
+    DRAIN_ON = "drain-on"
+    DRAIN_OFF = "drain-off"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change by an operator."""
+
+    kind: ChangeKind
+    engine: str = ""  # of bans
+    at: int = 0  # of a ban: since when, Unix time in ns
+
+
 class Refused(Exception):
     """A state that is not to be trusted; the text says why, in a few words."""
 
@@ -42,7 +60,7 @@
             "bans": dict(sorted(kept.bans.items())), "learned": kept.learned}
 
 
-def judge(fields: Any, gateway: str, now: int, deployment: str = "") -> Kept:
+def judge(fields: Any, gateway: str, deployment: str = "") -> Kept:
     """The state in a body that was read back whole (its check sum held), or Refused."""
     if not isinstance(fields, dict):
         raise Refused("not an object")
@@ -55,10 +73,6 @@
     sequence, written, writer = (fields.get(name) for name in ("sequence", "written", "writer"))
     if not all(whole(n) and n >= 0 for n in (sequence, written, writer)):
         raise Refused("sequence, time or writer is not a whole number")
-    if now - written > OLDEST:
-        raise Refused(f"written {(now - written) // 1_000_000_000} s ago")
-    if written - now > AHEAD:
-        raise Refused("written in the future")
     drained, bans = fields.get("drained"), fields.get("bans")
     if not isinstance(drained, bool) or not isinstance(bans, dict):
         raise Refused("drained or bans of the wrong kind")
@@ -80,11 +94,18 @@
     return found.sequence > known
 
 
-def next_state(known: Kept, bans: dict[str, int], drained: bool, now: int, writer: int) -> Kept:
-    """What this process writes after a change of its own: one further than any it has seen."""
-    return Kept(known.sequence + 1, now, dict(bans), drained, writer, known.learned)
-
-
-def due(known: Kept, now: int) -> bool:
-    """Whether the state is to be written again, unchanged but for its time, to stay recent."""
-    return now - known.written >= REFRESH
+def after(base: Kept, changes: Iterable[Change]) -> Kept:
+    """The state that operators' changes make of one, in their order; without changes, the state itself."""
+    bans, drained, sequence = dict(base.bans), base.drained, base.sequence
+    for change in changes:
+        sequence += 1
+        match change.kind:
+            case ChangeKind.SET_DOWN:
+                bans.setdefault(change.engine, change.at)
+            case ChangeKind.SET_UP:
+                bans.pop(change.engine, None)
+            case ChangeKind.DRAIN_ON:
+                drained = True
+            case ChangeKind.DRAIN_OFF:
+                drained = False
+    return replace(base, sequence=sequence, bans=bans, drained=drained)
--- a/claycross/decide/learned.py
+++ b/claycross/decide/learned.py
@@ -25,14 +25,14 @@
     """Lessons that are not to be taught; the text says why."""
 
 
-def lessons(router: Router, now: int) -> dict[str, Any]:
-    """What this module has learned, bounded; JSON's kinds only."""
+def lessons(router: Router, now: int, clock: str) -> dict[str, Any]:
+    """What this module has learned, bounded; JSON's kinds only. `clock` names the clock that `now` is of."""
     health, table = router.health, router.table
     engines = {e.id: [e.pace, e.samples, e.entry.started_at] for e in health.engines.values() if e.samples}
     sessions = list(table.sessions.items())[-MOST_SESSIONS:]
     prefixes = list(table.prefixes.items())[-MOST_PREFIXES:]
     return {
-        "at": now, "lags": list(router.lag_quantiles), "home_kept": router.home_kept,
+        "at": now, "clock": clock, "lags": list(router.lag_quantiles), "home_kept": router.home_kept,
         "recent": {role: list(health.recent[role]) for role in ROLES},
         "rates": {role: [total, at] for role, (total, at) in health.rates.items()},
         "engines": dict(list(engines.items())[:MOST_ENGINES]),
@@ -40,10 +40,13 @@
         "prefixes": {p: {r: [n, at] for r, (n, at) in held.items()} for p, held in prefixes}}
 
 
-def judge(found: Any, now: int) -> dict[str, Any]:
-    """The lessons as read back, or Unfit: of the wrong kind, out of bounds, or too old."""
+def judge(found: Any, now: int, clock: str) -> dict[str, Any]:
+    """The lessons as read back, or Unfit: of the wrong kind, out of bounds, too old, or of an age that can't
+    be known because another clock was read."""
     if not isinstance(found, dict) or not number(found.get("at")):
         raise Unfit("no lessons")
+    if not clock or found.get("clock") != clock:
+        raise Unfit("lessons by another clock")
     if not 0 <= now - found["at"] <= OLDEST:
         raise Unfit(f"lessons of {(now - found['at']) // 1_000_000_000} s ago")
     lags, recent, rates = found.get("lags"), found.get("recent"), found.get("rates")
--- a/claycross/handover.py
+++ b/claycross/handover.py
@@ -1,33 +1,40 @@
 """The files in `$TMPDIR` by which a gateway's state outlives its process: each written whole or not at all.
 
 Owns the files' names, their bytes (JSON with a SHA-256 check sum of the body), the atomic write (a file of
-its own, renamed to a name of its own), the going of older ones, and the bound on what is read back. It must
-never trust what it reads (decide/handover.py judges it), leave more than the newest of its files behind, or
-stop the gateway because the folder can't be written: the state is then only this process's.
+its own, synced and renamed to a name of its own), the lock between two processes of one gateway, the going of
+older files, and the bound on what is read back. It must never trust what it reads (decide/handover.py judges
+it), replace a newer state that another process wrote, or leave more than the newest of its files behind.
+Writes block: the loop has them done by a thread (state_keeper.py).
 """
 
 from __future__ import annotations
 
 import contextlib
+import errno
+import fcntl
 import hashlib
 import json
 import os
 import re
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import replace
+from typing import Any
 
-from .decide.handover import Kept, Refused, body, judge
+from .decide.handover import Change, Kept, Refused, after, body, judge, newer
 
 LARGEST = 1024 * 1024  # bytes of the file; a larger one is refused unread
 LOGGED = 8  # files of others that are named in the log at the start
+LOCK_TRIES, LOCK_PAUSE = 20, 0.005  # for the lock that the other process holds for a moment; seconds
+LOCKS_UNKNOWN = (errno.ENOLCK, errno.ENOSYS, errno.EOPNOTSUPP, errno.EINVAL)  # the folder knows no locks
 
 
 class Handover:
     """The state's files are named by a generation that rises with each write: NAME.SETTINGS.GEN.PID.state
     (without SETTINGS where none are given); those of other settings are neither used nor removed. A new
-    generation is written to a file of its own and renamed to its name, then the older ones go. Renaming over
-    an existing file is what is avoided: on ext4 it flushes the data to disk first, 54 ms in the loop here and
-    over a second on a busy disk; a rename to a new name costs nothing and is as whole for a process killed at
-    any moment. What a crash of the machine would need, its $TMPDIR does not survive anyway."""
+    generation is written to a file of its own, synced and renamed to its name; the older ones go once that is
+    on the disk. Renaming over an existing file is avoided: a process killed at any moment leaves one whole
+    state, and so does a machine that fails."""
 
     def __init__(self, folder: str, gateway: str, log: Callable[[str], None], deployment: str = ""):
         self.folder, self.gateway, self.log, self.deployment = folder, gateway, log, deployment
@@ -49,11 +56,11 @@
         except OSError:
             return []
 
-    def refuse_others(self, now: int) -> None:
+    def refuse_others(self) -> None:
         """Names in the log, once, what stands under this gateway's name and is not used, and why."""
         mine = {name for _, name in self.listed()}
         for name in sorted(set(self.names(self.name)) - mine)[:LOGGED]:
-            if self.trusted(name, now):
+            if self.trusted(name):
                 self.log(f"handover-refused path={os.path.join(self.folder, name)} why=not by its name")
 
     def listed(self) -> list[tuple[int, str]]:
@@ -69,17 +76,18 @@
         """Whether the files are other than they were when this process last read or wrote them."""
         return frozenset(name for _, name in self.listed()) != self.seen
 
-    def load(self, now: int) -> Kept | None:
+    def load(self) -> Kept | None:
         """The newest state that can be trusted; else None. Each that is refused is named in the log."""
         found = self.listed()
         self.seen = frozenset(name for _, name in found)
         self.generation = max([self.generation, *(g for g, _ in found)])
-        return next((kept for _, name in found if (kept := self.trusted(name, now))), None)
+        trusted = [kept for _, name in found if (kept := self.trusted(name))]
+        return max(trusted, key=lambda kept: kept.sequence, default=None)
 
-    def trusted(self, name: str, now: int) -> Kept | None:
+    def trusted(self, name: str) -> Kept | None:
         path = os.path.join(self.folder, name)
         try:
-            return judge(unwrap(self.read(path)), self.gateway, now, self.deployment)
+            return judge(unwrap(self.read(path)), self.gateway, self.deployment)
         except FileNotFoundError:
             pass  # the other process wrote a newer one meanwhile and let this one go
         except OSError as err:
@@ -95,7 +103,39 @@
                 raise Refused(f"{size} bytes, over {LARGEST}")
             return file.read(LARGEST + 1)
 
-    def save(self, kept: Kept) -> bool:
+    @contextlib.contextmanager
+    def locked(self) -> Iterator[None]:
+        """Holds the folder's lock, so that no other process of the gateway writes between a read and a write.
+        OSError where it can't be had soon. It ends with the process, however that ends."""
+        descriptor = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            for tries_left in reversed(range(LOCK_TRIES)):
+                try:
+                    fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                    break
+                except OSError as err:
+                    if err.errno in LOCKS_UNKNOWN:
+                        break
+                    if not tries_left:
+                        raise
+                    time.sleep(LOCK_PAUSE)
+            yield
+        finally:
+            os.close(descriptor)
+
+    def update(self, held: Kept, changes: Iterable[Change], learned: dict[str, Any] | None) -> Kept:
+        """Writes what the changes make of the newest state: the one on the disk, or the one held here. It is
+        on the disk when this returns; OSError where it is not. Returns the state that was written."""
+        with self.locked():
+            found = self.load()
+            base = found if found and newer(found, held.sequence) else held
+            state = replace(after(base, changes), written=time.time_ns(), writer=os.getpid(),
+                            learned=base.learned if learned is None else learned)
+            self.write(state)
+            return state
+
+    def write(self, kept: Kept) -> None:
+        """One generation, synced; then the older ones go. OSError leaves them as they were."""
         data = wrap(body(kept, self.gateway, self.deployment))
         self.generation = max([self.generation, *(g for g, _ in self.listed())]) + 1  # never a name in use
         name = f"{self.prefix}{self.generation}.{os.getpid()}.state"
@@ -103,22 +143,44 @@
         try:
             with open(temporary, "wb") as file:
                 file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
             os.rename(temporary, os.path.join(self.folder, name))
-        except OSError as err:
+            self.sync_folder()
+        except OSError:
             with contextlib.suppress(OSError):
                 os.unlink(temporary)
-            if not self.failed:
-                self.log(f"handover-unwritten path={temporary} why={err.strerror}; it stays this process's")
-            self.failed = True
-            return False
-        self.failed = False
+            raise
         for generation, older in self.listed():
             if generation < self.generation:
                 with contextlib.suppress(OSError):
                     os.unlink(os.path.join(self.folder, older))
         self.seen = frozenset(name for _, name in self.listed())
+
+    def sync_folder(self) -> None:
+        """The names in the folder are on the disk."""
+        descriptor = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def save(self, kept: Kept) -> bool:
+        """Writes this state, whatever is there; False, said once in the log, where that fails."""
+        try:
+            self.write(kept)
+        except OSError as err:
+            self.unwritten(err)
+            return False
+        self.failed = False
         return True
 
+    def unwritten(self, err: OSError) -> None:
+        """Says in the log, once for failures in a row, that the state can't be written."""
+        if not self.failed:
+            self.log(f"handover-unwritten path={self.folder} why={err.strerror}; it stays this process's")
+        self.failed = True
+
     def sweep(self) -> None:
         """Files that a process killed in the middle of a write left behind."""
         with contextlib.suppress(OSError):
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -24,6 +24,7 @@
 
 MS, SECOND = 1_000_000, 1_000_000_000
 TICK, SLOTS = 2 * MS, 512  # of the wheel: one turn is about a second
+BOOT_ID = "/proc/sys/kernel/random/boot_id"
 LATE = 40 * MS  # a round or a timer later than this is logged
 READ_SIZE = 16_384  # small, so that a greedy sender gets few bytes a turn
 A_ROUND = 64  # connections accepted at once
@@ -47,6 +48,16 @@
     """The reader of a connection is wanted for something else."""
 
 
+def monotonic_clock_id() -> str:
+    """Names the machine's run that its monotonic clock counts from: two processes whose ids agree read one
+    clock. Blank where the system does not tell."""
+    try:
+        with open(BOOT_ID, encoding="ascii") as file:
+            return file.read().strip()
+    except (OSError, ValueError):
+        return ""
+
+
 class Timer:
     __slots__ = ("due", "call")
 
@@ -99,6 +110,7 @@
 class Loop:
     def __init__(self) -> None:
         self.offset = time.time_ns() - time.monotonic_ns()  # Unix time, but never set back while we run
+        self.clock_id = monotonic_clock_id()
         self.poller = select.poll()
         self.watched: dict[int, Callable[[int], None]] = {}
         self.wheel = Wheel(self.now())
--- /dev/null
+++ b/claycross/state_keeper.py
@@ -0,0 +1,177 @@
+"""What outlives the process: bans, the drain, and what the module learned, kept for the next process.
+
+Owns the state that this process holds of its gateway, the operators' changes that are not yet on the disk,
+and the one thread at a time that writes. A change counts here at once; it is kept when the file that holds it
+is synced. What another process of the gateway wrote is followed, with the changes of this one on top. It must
+never call a change kept that a restart would forget, undo what another process was told, or block the loop.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from .decide import learned
+from .decide.bans import Bans
+from .decide.handover import Change, Kept, after, newer
+from .handover import Handover
+from .interface import EngineList
+from .net.loop import MS, SECOND, Loop
+
+FOLLOW = 200 * MS  # between looks at the state that another process of this gateway may have written
+LESSONS = 2 * SECOND  # between writes of what was learned, where a process may take over
+RETRY, LONGEST_RETRY = 40 * MS, SECOND  # after a write that failed; doubles
+KEPT_WITHIN = 700 * MS  # an operator's call waits so long for its change to be kept
+THREAD_LOOK = 4 * MS  # between looks whether the thread that writes is done
+
+
+@dataclass(slots=True)
+class Write:
+    """One write by a thread: what came of it, once it is done."""
+
+    state: Kept | None = None
+    error: OSError | None = None
+    done: bool = False
+
+
+class StateKeeper:
+    """The state of one gateway, as this process holds it."""
+
+    def __init__(self, loop: Loop, handover: Handover, bans: Bans, log: Callable[[str], None]):
+        self.loop, self.handover, self.bans, self.log = loop, handover, bans, log
+        self.held = Kept()  # as it was last read or written, without what is pending
+        self.pending: list[Change] = []  # changes made here that are not kept yet, in their order
+        self.lessons: dict[str, Any] | None = None  # of the process before, until they are taught
+        self.drained = False
+        self.saving = self.stopping = False
+        self.failures = 0  # writes that failed in a row
+        self.failed_writes = 0  # since the start
+        self.why = ""  # the last of them failed
+        self.on_news: Callable[[list[EngineList]], None] = lambda news: None
+        self.on_drain: Callable[[bool], None] = lambda on: None
+        self.learned: Callable[[], dict[str, Any] | None] = lambda: None
+
+    def start(self, teaches: bool) -> None:
+        """From now on other processes are followed, and, where one may take over, it is left lessons."""
+        self.loop.later(FOLLOW, self.follow)
+        if teaches:
+            self.loop.later(LESSONS, self.teach_next)
+
+    # ------------------------------------------------------------ reading
+
+    def take_over(self) -> None:
+        """The state that an earlier process of this gateway left, before the first list comes."""
+        self.handover.sweep()
+        self.handover.refuse_others()
+        found = self.handover.load()
+        if not found:
+            return
+        self.held = found
+        self.bans.adopt(found.bans)
+        self.drained = found.drained
+        self.log(f"handover-taken sequence={found.sequence} writer={found.writer} bans={len(found.bans)} "
+                 f"drained={found.drained}")
+        if found.learned:
+            try:
+                self.lessons = learned.judge(found.learned, self.loop.now(), self.loop.clock_id)
+            except learned.Unfit as err:
+                self.log(f"handover-unlearned why={err}")
+
+    def follow(self) -> None:
+        """A change that another process of this gateway made and wrote counts here too."""
+        if not self.saving and self.handover.changed():
+            found = self.handover.load()
+            if found and newer(found, self.held.sequence):
+                self.log(f"handover-followed sequence={found.sequence} writer={found.writer} "
+                         f"bans={len(found.bans)} drained={found.drained}")
+                self.adopt(found)
+        self.loop.later(FOLLOW, self.follow)
+
+    def adopt(self, state: Kept) -> None:
+        """Holds this state, and carries out what differs from before; what is pending stays on top."""
+        self.held = state
+        wanted = after(state, self.pending)
+        if news := self.bans.adopt(wanted.bans):
+            self.on_news(news)
+        if wanted.drained != self.drained:
+            self.drained = wanted.drained
+            self.on_drain(self.drained)
+
+    # ------------------------------------------------------------ writing
+
+    def keep(self, change: Change) -> None:
+        """Takes over a change that counts here already; it is written from now on until it is kept."""
+        self.pending.append(change)
+        self.save()
+
+    def why_not_kept(self) -> str:
+        """Waits, for so long as an operator may, until all changes are kept; blank, or why they are not. To
+        be called by a task."""
+        until = self.loop.now() + KEPT_WITHIN
+        while self.pending and self.loop.now() < until:
+            self.loop.sleep(THREAD_LOOK)
+        return (self.why or "the write takes long") if self.pending else ""
+
+    def teach_next(self) -> None:
+        """Where a process may take over from this one, what was learned is written now and then for it."""
+        if not self.stopping:
+            self.save()
+            self.loop.later(LESSONS, self.teach_next)
+
+    def stop(self) -> None:
+        """The process ends: what it has learned is written once more, and then no longer."""
+        self.stopping = True
+        self.save()
+
+    def save(self) -> None:
+        """Has the state written, with what is pending; one write is under way at a time."""
+        if not self.saving:
+            self.saving = True
+            self.loop.spawn(self.save_all)
+
+    def save_all(self) -> None:
+        """Writes until nothing is pending. A write that fails is tried again, ever later."""
+        try:
+            while True:
+                changes = tuple(self.pending)
+                write = self.write(changes)
+                if write.state is not None:
+                    if self.failures:
+                        self.log(f"handover-written sequence={write.state.sequence} after={self.failures}")
+                    del self.pending[:len(changes)]
+                    self.adopt(write.state)
+                    self.failures, self.why, self.handover.failed = 0, "", False
+                else:
+                    self.failures += 1
+                    self.failed_writes += 1
+                    self.why = str(write.error.strerror if write.error else "unknown")
+                    if write.error:
+                        self.handover.unwritten(write.error)
+                if not self.pending:
+                    return
+                if self.failures:
+                    self.loop.sleep(min(LONGEST_RETRY, RETRY << min(self.failures - 1, 6)))
+        finally:
+            self.saving = False
+
+    def write(self, changes: tuple[Change, ...]) -> Write:
+        """One write by a thread of its own: a disk may take long, and the loop must not wait for it."""
+        write, held, lessons = Write(), self.held, self.learned()
+
+        def work() -> None:
+            try:
+                write.state = self.handover.update(held, changes, lessons)
+            except OSError as err:
+                write.error = err
+            finally:
+                write.done = True
+        threading.Thread(target=work, daemon=True).start()
+        while not write.done:
+            self.loop.sleep(THREAD_LOOK)
+        return write
+
+    def busy(self) -> bool:
+        """Whether a process that ends has to stay for a write."""
+        return self.saving
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -366,6 +366,7 @@
     classes: list = field(default_factory=list)  # more of them, in the words of the settings
     passed: socket.socket | None = None  # the clients' listening socket, handed over as descriptor 3
     tmp: pathlib.Path | None = None  # $TMPDIR, where it is to be shared with another process
+    environment: dict = field(default_factory=dict)  # more of it, for the gateway's process
 
     def __enter__(self):
         self.discovery = Discovery().start()
@@ -429,6 +430,7 @@
                 env["PROXY_ADMIN"] = "127.0.0.1:0"
             if self.tmp:
                 env["TMPDIR"] = str(self.tmp)
+            env |= self.environment
             command, handed = self.command, {}
             if self.passed is not None:  # as the platform hands it over: descriptor 3, named so
                 env["PROXY_PASSED_SOCKET"] = "3"
