--- a/claycross/emulator/demo.py
+++ b/claycross/emulator/demo.py
@@ -56,18 +56,22 @@
 class Part:
     """One process of this program, and its log."""
 
-    def __init__(self, folder: pathlib.Path, name: str, *words: str):
+    def __init__(self, folder: pathlib.Path, name: str, *words: str,
+                 environment: dict[str, str] | None = None):
         self.name, self.words, self.path = name, words, folder / f"{name}.log"
+        self.environment = environment or {}
         self.process: subprocess.Popen | None = None
         self.before = ""  # what earlier processes of that name said
         self.start()
 
     def start(self) -> None:
         self.before += self.path.read_text() if self.path.exists() else ""
+        state = self.path.with_suffix(".state")  # kept from one process of that name to the next
+        state.mkdir(exist_ok=True)
         with self.path.open("w") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-O", "-m", "claycross", *self.words], cwd=ROOT, stdout=log, stderr=log,
-                env=os.environ | {"PROXY_NAME": self.name})
+                env=os.environ | {"PROXY_NAME": self.name, "TMPDIR": str(state)} | self.environment)
 
     def said(self, pattern: str) -> re.Match[str]:
         """Waits for a line of its log."""
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -227,7 +227,7 @@
             self.report(getattr(call, "__qualname__", "call"))
 
     def on_signals(self, calls: dict[int, Callable[[], None]]) -> None:
-        """Runs the call of each signal in the loop, not in the handler."""
+        """Runs the call of each signal in the loop, not in the handler. From now on they come through."""
         self.wakeup = socket.socketpair()
         for end in self.wakeup:
             end.setblocking(False)
@@ -239,6 +239,7 @@
             for number in set(self.wakeup[0].recv(512)) & calls.keys():
                 self.guard(calls[number])
         self.watch(self.wakeup[0].fileno(), select.POLLIN, ready)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, calls)
 
 
 class Signal:
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -428,8 +428,9 @@
             env["PROXY_DISCOVERY"] = self.discovery.address  # as the platform does; a reload must see past it
             if self.door:
                 env["PROXY_ADMIN"] = "127.0.0.1:0"
-            if self.tmp:
-                env["TMPDIR"] = str(self.tmp)
+            state = self.tmp or self.folder / "state"  # never shared with another test's gateway of that name
+            state.mkdir(exist_ok=True)
+            env["TMPDIR"] = str(state)
             env |= self.environment
             command, handed = self.command, {}
             if self.passed is not None:  # as the platform hands it over: descriptor 3, named so
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -69,7 +69,7 @@
 
 def test_what_is_off_on_the_platform_costs_its_start_nothing():
     """None of these libraries is imported by what is always imported."""
-    code = "import sys, claycross.__main__; print(*sorted(m for m in sys.modules if '.' not in m))"
+    code = "import sys, claycross.commands; print(*sorted(m for m in sys.modules if '.' not in m))"
     found = subprocess.run([sys.executable, "-c", code], cwd=ROOT.parent, capture_output=True, text=True)
     assert found.returncode == 0 and "claycross" in found.stdout.split()
     assert not LIBRARIES & set(found.stdout.split())
