A stop loses requests that wait: without room, behind others, as accept fails; failing tests

Seen: three tests, each a reset or an end without an answer to a request that was sent before the listener closed.

Ruled out: twenty that wait with room and good accepts (tests/test_crossings.py), a client's own Connection: close.

Lines at fault: Listener.accept reports 'no more' alike for an empty queue, for no room and for a failed call, and close() closes on it; Exchange.closing looks at the drain alone.

--- /dev/null
+++ b/tests/test_stop_with_waiting.py
@@ -0,0 +1,79 @@
+"""What the gateway's machine has taken when it is told to stop is answered, even in a crowd."""
+
+import signal
+import threading
+
+import pytest
+
+from claycross.emulator.faults import Field, SystemFaults
+from standins.servers import Engine, eventually, passes
+from tests.test_pipelining import request
+
+
+class HeldWriter(Engine):
+    """Answers nothing before it is told to."""
+
+    def __init__(self):
+        super().__init__("d", plan=HeldWriter.answer)
+        self.go_on = threading.Event()
+
+    def answer(self, message, wire):
+        self.go_on.wait(8)
+        wire.stream()
+
+
+@pytest.fixture
+def writer():
+    engine = HeldWriter()
+    yield engine
+    engine.go_on.set()
+
+
+def test_a_request_that_waits_to_be_accepted_without_room_is_answered(site):
+    """All places are taken by requests under way; one more waits in the listening socket as SIGTERM comes."""
+    go_on = threading.Event()
+
+    def read_later(engine, message, wire):
+        go_on.wait(8)
+        wire.reply(202, body=b"{}")
+    readers = [Engine("p", plan=read_later) for _ in range(6)]
+    s = site(*readers, Engine("d"), release=True, sockets=80)
+    clients = [s.client() for _ in range(16)]  # as many as 80 descriptors allow
+    for n, c in enumerate(clients):
+        c.sock.sendall(request(f"busy-{n}"))
+    eventually(lambda: sum(len(reader.asked) for reader in readers) == len(clients))
+    with s.client() as late:
+        late.sock.sendall(request("late"))
+        s.process.send_signal(signal.SIGTERM)
+        passes(0.8)
+        go_on.set()
+        assert {c.answer().status for c in clients} <= {200, 503}
+        assert late.answer().status in (200, 503)
+    assert s.process.wait(8) == 0
+
+
+def test_requests_behind_another_are_answered_before_the_process_ends(site, writer):
+    """They were received before the signal, so the answer to the first must not end their connection."""
+    s = site(Engine("p"), writer, release=True)
+    with s.client() as c:
+        c.sock.sendall(request("first") + request("second") + request("third"))
+        eventually(lambda: writer.asked)
+        s.process.send_signal(signal.SIGTERM)
+        passes(0.7)
+        writer.go_on.set()
+        assert [c.answer().status for _ in range(3)] == [200] * 3
+    assert s.process.wait(8) == 0
+
+
+def test_an_accept_that_fails_for_a_moment_as_the_listener_closes_loses_nothing(site, tmp_path):
+    faults = SystemFaults(tmp_path, "n0")
+    s = site(Engine("p"), Engine("d"), release=True, environment=faults.environment())
+    faults.set(Field.ACCEPT, 1000)
+    clients = [s.client() for _ in range(20)]
+    for n, c in enumerate(clients):
+        c.sock.sendall(request(f"waits-{n}", cls="browse"))
+    s.process.send_signal(signal.SIGTERM)
+    passes(0.8)  # the listener has been told to close, and no accept has come through yet
+    faults.clear()
+    assert {c.answer().status for c in clients} <= {200, 503}
+    assert s.process.wait(8) == 0
