A stop answers what waits: the listener empties before it closes, pipelined requests first

Lines at fault: Listener.accept told an empty queue, no room and a failed call apart by nothing, so close() closed over what waited; Exchange.closing announced the end of a connection over requests that were received before the drain.

Change: Listener has three states, open, closing and closed, and one way to the last; accept() says MORE, EMPTY or BLOCKED; a process that ends waits for its listeners (2.5 s at most). Front.ends_connections asks since when what follows an answer waits. Failed accepts are counted by their error.

--- a/claycross/fronts/base.py
+++ b/claycross/fronts/base.py
@@ -75,6 +75,7 @@
     def __init__(self, front: Front, conn: Conn, close: bool):
         self.front, self.conn, self.close_after = front, conn, close
         self.out, self.over, self.begun = b"", False, False
+        self.inbox: Inbox | None = None  # what follows the request
 
     def piece(self, data: bytes) -> None:
         if not self.begun:
@@ -111,7 +112,7 @@
         self.finish()
 
     def closing(self) -> bool:
-        self.close_after = self.close_after or self.front.draining
+        self.close_after = self.close_after or self.front.ends_connections(self.inbox)
         return self.close_after
 
     def finish(self) -> None:
@@ -129,6 +130,7 @@
                  passed: int | None = None):
         self.loop, self.core, self.limit = loop, core, limit
         self.draining = False  # every answer says that its connection closes
+        self.draining_since = 0
         self.shedding = False  # and a connection between two requests is closed
         self.clients: dict[Conn, tuple[int, int]] = {}  # what each is at, and since when; oldest first
         self.listener = Listener(loop, listen, self.accepted, self.room, passed=passed)
@@ -159,11 +161,21 @@
 
     def drain(self) -> None:
         """From now on every answer says that its connection closes; new connections are still taken."""
-        self.draining = True
+        if not self.draining:
+            self.draining, self.draining_since = True, self.loop.now()
+
+    def ends_connections(self, inbox: Inbox | None) -> bool:
+        """Whether an answer that is given now ends its connection. A request that was received before the
+        drain began, and waits behind that answer, is owed its own."""
+        if not self.draining:
+            return False
+        waits_since = inbox.since() if inbox else 0
+        return not 0 < waits_since <= self.draining_since
 
     def shed(self) -> None:
         """Draining, and those that wait between requests are closed; a new one is given its first request."""
-        self.draining = self.shedding = True
+        self.drain()
+        self.shedding = True
         self.interrupt_idle()
 
     def undrain(self) -> None:
@@ -171,12 +183,12 @@
         if self.listener.open:
             self.draining = self.shedding = False
 
-    def close(self) -> None:
+    def close(self, within: int = 0) -> None:
         """No further connections; those that wait between requests are closed. One that was accepted is
-        given the time for its first request: closed at once, it would be answered by nobody."""
-        self.draining = self.shedding = True
-        self.listener.close()
-        self.interrupt_idle()
+        given the time for its first request: closed at once, it would be answered by nobody. One that still
+        waits to be accepted is, as soon as there is room, `within` at most."""
+        self.shed()
+        self.listener.close(within)
 
     def interrupt_idle(self) -> None:
         """Their tasks look once more whether a request has come, and end the connection if none has."""
@@ -249,8 +261,9 @@
         close = not head.keeps_alive()
         taken = self.take(conn, head, body, came, close)
         if taken is None:
-            return not (close or self.draining)
+            return not (close or self.ends_connections(inbox))
         opened, exchange = taken
+        exchange.inbox = inbox
         self.wait(conn, inbox, opened, exchange)
         return not exchange.close_after and not conn.closed  # told so or not: what was not told is answered
 
--- a/claycross/gateway.py
+++ b/claycross/gateway.py
@@ -47,6 +47,7 @@
 
 VERSION = "0.2.0"
 STILL_ACCEPTS = 500 * MS  # after SIGTERM: the front needs up to 0.4 s to notice
+EMPTIES_WITHIN = 2500 * MS  # of its listening socket, after that: what waits in it is accepted first
 HAND_BACK, HANDED_BACK = 2400 * MS, 3300 * MS  # after SIGTERM: streams still running go, bit by bit
 SHED_AFTER = 400 * MS  # after drain-on: the clients' front sends new connections for 0.3 s more
 RESERVED = 48  # descriptors that neither clients nor engines' connections may take
@@ -378,7 +379,7 @@
             front.drain()
             if front.listener.shared:  # what comes now waits in the socket for the process that takes over
                 front.listener.close()
-            self.loop.later(STILL_ACCEPTS, front.close)
+            self.loop.later(STILL_ACCEPTS, lambda front=front: front.close(EMPTIES_WITHIN))
         self.loop.later(STILL_ACCEPTS, self.end)
         self.loop.later(HAND_BACK, lambda: self.hand_back(self.loop.now() + HANDED_BACK - HAND_BACK))
 
@@ -392,8 +393,10 @@
             self.loop.later(40 * MS, lambda: self.hand_back(until))
 
     def end(self) -> None:
-        served = any(f.clients for f in self.fronts) or any(c.open or c.owed() for c in self.cores)
-        if served or (self.state.busy() and self.loop.now() < self.core.ends):
+        clients = any(front.clients or not front.listener.closed for front in self.fronts)
+        requests = any(core.open or core.owed() for core in self.cores)
+        writing = self.state.busy() and self.loop.now() < self.core.ends
+        if clients or requests or writing:
             self.loop.later(20 * MS, self.end)
             return
         self.log("stopped")
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -14,8 +14,9 @@
 import sys
 import time
 import traceback
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
+from enum import Enum, auto
 from typing import Any
 
 from greenlet import getcurrent, greenlet
@@ -28,6 +29,8 @@
 LATE = 40 * MS  # a round or a timer later than this is logged
 READ_SIZE = 16_384  # small, so that a greedy sender gets few bytes a turn
 A_ROUND = 64  # connections accepted at once
+ROUNDS_AT_CLOSE = 64  # of accepts in one go, as a listener closes
+BLOCKED_PAUSE = 20 * MS  # of a listener that has something waiting and can't accept it
 HANG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 READABLE = select.POLLIN | HANG_UP
 
@@ -277,12 +280,22 @@
     return sock
 
 
+class Accepted(Enum):
+    """How a round of accepts ended."""
+
+    MORE = auto()  # at its bound
+    EMPTY = auto()  # nothing waits
+    BLOCKED = auto()  # there is no room, or the system refused
+
+
 class Listener:
-    """Accepts while `room()` says so."""
+    """Accepts while `room()` says so. Open, then (after close()) closing until the kernel holds nothing more
+    for it, then closed."""
 
     def __init__(self, loop: Loop, address: tuple[str, int], accepted: Callable[[Conn], None],
                  room: Callable[[], bool], backlog: int = 256, passed: int | None = None):
         self.loop, self.accepted, self.room = loop, accepted, room
+        self.failed: Counter[str] = Counter()  # accepts, by the system's error
         self.shared = passed is not None  # held by the platform too: what waits in it is not ours alone
         if passed is None:
             self.sock = socket.socket()
@@ -292,7 +305,9 @@
             self.sock = inherited(passed)
         self.sock.setblocking(False)
         self.sock.listen(backlog)
-        self.open, self.paused = True, False
+        self.open, self.closed, self.paused = True, False, False
+        self.blocked_since = 0  # something may wait since then that could not be accepted
+        self.close_by = 0
         loop.watch(self.sock.fileno(), select.POLLIN, self.ready)
 
     def address(self) -> tuple[str, int]:
@@ -301,43 +316,66 @@
     def ready(self, _: int) -> None:
         self.accept()
 
-    def accept(self) -> bool:
-        """Takes what waits, up to a bound; True: there may be more."""
+    def accept(self) -> Accepted:
+        """Takes what waits, up to a bound."""
         for _ in range(A_ROUND):
             if not self.room():
-                self.pause()
-                return False
+                return self.block()
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
-                return False
-            except OSError:  # out of descriptors, or the peer went away meanwhile
-                self.pause()
-                return False
+                self.blocked_since = 0
+                return Accepted.EMPTY
+            except ConnectionAbortedError:  # that one's client went away meanwhile
+                continue
+            except OSError as err:
+                self.failed[errno.errorcode.get(err.errno, "?")] += 1
+                return self.block()
             self.accepted(Conn(self.loop, sock))
-        return True
+        return Accepted.MORE
 
-    def pause(self) -> None:
+    def block(self) -> Accepted:
         """Guards against a busy loop on a listener that is readable while nothing can be accepted."""
-        if not self.paused and self.open:
+        self.blocked_since = self.blocked_since or self.loop.now()
+        if not self.paused and not self.closed:
             self.paused = True
             self.loop.watch(self.sock.fileno(), 0, self.ready)
-            self.loop.later(20 * MS, self.resume)
+            self.loop.later(BLOCKED_PAUSE, self.resume)
+        return Accepted.BLOCKED
 
     def resume(self) -> None:
-        if self.paused and self.open:
+        if self.paused and not self.closed:
             self.paused = False
             self.loop.watch(self.sock.fileno(), select.POLLIN, self.ready)
 
-    def close(self) -> None:
-        if self.open:
-            if not self.shared:  # a shared socket keeps what waits in it for the process that takes over
-                while self.accept():  # what the kernel has taken for us would be reset
-                    pass
-            self.open = False
-            if not self.paused:
-                self.loop.watch(self.sock.fileno(), 0, self.ready)
-            self.sock.close()
+    def close(self, within: int = 0) -> None:
+        """No further connections. What the kernel has taken for this process would be reset: it is accepted
+        before, and the socket stays open for that, but no longer than `within`. A shared socket keeps what
+        waits in it for the process that takes over."""
+        if not self.open:
+            return
+        self.open = False
+        self.close_by = self.loop.now() + within
+        if self.shared:
+            self.shut()
+        else:
+            self.empty()
+
+    def empty(self) -> None:
+        """Accepts all that waits, then closes the socket; comes again where that is blocked."""
+        rounds = 1
+        while (found := self.accept()) is Accepted.MORE and rounds < ROUNDS_AT_CLOSE:
+            rounds += 1
+        if found is Accepted.EMPTY or self.loop.now() >= self.close_by:
+            self.shut()
+        else:
+            self.loop.later(BLOCKED_PAUSE, self.empty)
+
+    def shut(self) -> None:
+        self.closed = True
+        if not self.paused:
+            self.loop.watch(self.sock.fileno(), 0, self.ready)
+        self.sock.close()
 
 
 class Conn:
