One place for what may be sent, repeated, refused and closed; waits and local faults count

The module asks it before it decides; the core asks again at each attempt's begin, at its first byte and at each refusal, from what it has seen itself, and counts what should never have come so far as a breach (may-repeat, may-refuse, one-copy); the front checks that no connection is closed over a request that is unanswered. What is withheld is counted by reason (denied-WHAT-WHY), refusals by theirs.

Change: Loop.poll knows since when what it finds may have waited (decide/held_up.py: a round that took long, a poll that returned late; no poll is longer than 0.1 s), and Conn.read_at says that; a listener that was blocked tells its connections since when.

Local faults: seen, tests/test_local_errors.py. Change: Conn.dial tries faults of this machine again until the dial's time is over (EINTR is a dial under way), then says NoRoom; the outcome is local_error, which leaves no mark on an engine or a zone. A pool at its bound waits for room as long.

--- a/claycross/core.py
+++ b/claycross/core.py
@@ -13,6 +13,7 @@
 from typing import Any, Protocol
 
 from . import interface as i
+from .decide import permits
 from .decide.confirmed import Confirmation
 from .decide.release import Known, ReleaseCall
 from .invariant import invariant
@@ -26,8 +27,6 @@
 MOST_RELEASES = 4096  # under way at once
 ROUNDS = 50  # of events that follow from actions, within one moment
 
-UNHEARD = ("connect_failed", "timeout", "cancelled", "moot")  # outcomes in which the engine said nothing
-CERTAIN = ("connect_failed", "full", "moot", "stateless")  # outcomes that leave nothing held there
 # How a request ended, in the words of the figures: served, refused, failed. One whose client left: nowhere.
 REPLIES = {"served": "success", "refused": "overload", "failed": "error", "overdue": "error",
            "rejected": "error", "broken": "error", "turned-away": "error"}
@@ -83,6 +82,8 @@
         self.expected, self.claimed = action.expected, action.claimed  # as the module foretold, for the log
         self.timer: Any = None
         self.over = self.began = False
+        self.result = ""  # once it is over
+        self.entry: i.EngineEntry | None = None  # of its engine, as it was listed when the attempt began
         self.call: Callable[[], bool] | None = None  # ends it; False: it never ran
 
     def connecting(self) -> bool:
@@ -269,9 +270,21 @@
     def may_go(self, t: Attempt) -> bool:
         """Asked at the moment of the first byte: while it was connecting a drain may have been told, its
         client may have left, or the window in which it may run again may have ended."""
-        entry = self.listed.get(t.engine)
-        return not t.over and not t.request.over and entry is not None and entry.condition == "ready" and (
-            not t.until or self.clock.now() < t.until)
+        denial = permits.send(t.over, t.request.over, self.listed.get(t.engine), t.until, self.clock.now())
+        if denial:
+            self.deny("send", t.request, denial)
+        return denial is None
+
+    def earlier(self, r: Request) -> list[permits.Earlier]:
+        """The attempts of a request that may have run, by what the core itself has seen of them."""
+        return [permits.Earlier(t.sent, t.entry.zone, t.entry.cell) for t in r.attempts
+                if t.entry and not t.connecting() and permits.may_have_run(t.reads, t.result)]
+
+    def deny(self, what: str, r: Request, denial: permits.Denial) -> None:
+        """Counts, and traces, what was not done and the rule that forbade it."""
+        self.count(f"denied-{what}-{denial}")
+        if self.trace:
+            self.trace(f"denied request={r.key} what={what} why={denial}")
 
     def began(self, t: Attempt) -> bool:
         """The first of the answer is here. False: nobody waits for it."""
@@ -332,15 +345,15 @@
         r = t.request
         if not invariant(not t.over, "one-outcome", f"request {r.key} attempt {t.n}"):
             return
-        t.over = True
+        t.over, t.result = True, result
         if t.timer:
             t.timer.cancel()
-        if t.reads and result in CERTAIN:
+        if t.reads and result in permits.NOTHING_HELD:
             r.holders.pop(t.engine, None)
         elif t.reads and result != "read" and t.engine in r.holders:
             r.holders[t.engine] = True
         self.count(result)
-        if result not in UNHEARD:
+        if result not in permits.UNHEARD:
             self.heard(t.engine)
         if self.trace:
             stage = "read" if t.reads else "write"
@@ -373,10 +386,18 @@
             role = self.settings.roles.get(entry.kind)
         timeout = max(0, min(a.timeout or r.deadline - now, r.deadline - now))
         t = Attempt(r, len(r.attempts), role == "read", now, timeout, a)
-        invariant(self.settings.may_duplicate or not r.out, "one-copy", f"request {r.key}")
+        denial = permits.begin(r.over, r.stream is not None, timeout, len(r.attempts),
+                               self.settings.max_attempts, r.out, self.settings.may_duplicate)
+        invariant(denial is not permits.Denial.COPY_OUT, "one-copy", f"request {r.key}")
+        spec = self.settings.classes.get(r.name)
+        if not denial and spec and entry:
+            denial = permits.repeat(spec, self.earlier(r), entry, now, 0)
+            invariant(not denial, "may-repeat", f"request {r.key} at {a.engine}: {denial}")
+        t.entry = entry
         r.attempts.append(t)
         r.out += 1
-        if r.over or r.stream or not timeout or len(r.attempts) > self.settings.max_attempts:
+        if denial:
+            self.deny("attempt", r, denial)
             return self.settle(t, "moot")
         if not self.may_go(t):
             return self.settle(t, "connect_failed")
@@ -406,6 +427,11 @@
         if (r := self.open.get(a.request)) and not r.over and not r.stream:
             if self.trace:
                 self.trace(f"refused request={r.key} why={a.why or 'time'} retry_ms={a.hold_off // MS}")
+            spec = self.settings.classes.get(r.name)
+            denial = permits.refuse(spec, self.earlier(r)) if spec else None
+            if not invariant(not denial, "may-refuse", f"request {r.key}: {denial}"):
+                return self.answer(r, "failed", r.reply.fail)
+            self.count(f"refused-{a.why or 'time'}")
             self.answer(r, "refused", r.reply.refuse, a.hold_off)
 
     def fail(self, a: i.Fail) -> None:
--- a/claycross/fronts/base.py
+++ b/claycross/fronts/base.py
@@ -10,7 +10,9 @@
 import contextlib
 
 from ..core import Core, Request
+from ..decide import permits
 from ..decide.receive_times import ReceiveTimes
+from ..invariant import invariant
 from ..net.http1 import LAST_CHUNK, Body, End, Head, Malformed, Messages, answer, chunk
 from ..net.loop import MS, SECOND, Closed, Conn, Interrupted, Listener, Loop, TimedOut
 
@@ -323,6 +325,9 @@
         except Closed:
             conn.close()
             self.core.left(opened)
+            self.core.count("client-left")
+        denial = permits.close(exchange.over, conn.closed)
+        invariant(denial is None, "answered-before-close", f"request {opened.key}: {denial}")
 
     def take(self, conn: Conn, head: Head, body: bytes, came: int,
              close: bool) -> tuple[Request, Exchange] | None:
--- a/claycross/gateway.py
+++ b/claycross/gateway.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING
 
 from .core import Core
-from .decide import learned
+from .decide import learned, permits
 from .decide.bans import Bans, Verdict
 from .decide.confirmed import Confirmation, figures
 from .decide.handover import Change, ChangeKind
@@ -205,15 +205,15 @@
 
     def serves(self) -> str:
         """Why this process can't serve yet, or no longer; blank once it can."""
-        if self.stopping:
-            return "stopping"
-        if not self.confirmed.may_send(self.loop.now()):
+        denial = permits.serve(self.stopping, False, self.confirmed.may_send(self.loop.now()))
+        if denial is permits.Denial.LIST_UNCONFIRMED:
             return "starting: discovery has not told the list yet"
-        return ""
+        return denial or ""
 
     def ready(self) -> bool:
         """What the clients' front is told at /-/ready: no while drained, stopping, or without a list."""
-        return not self.state.drained and not self.serves()
+        stands = self.confirmed.may_send(self.loop.now())
+        return permits.serve(self.stopping, self.state.drained, stands) is None
 
     def call_check(self, _: str) -> bytes:
         why = self.serves()
--- a/claycross/interface.py
+++ b/claycross/interface.py
@@ -142,7 +142,7 @@
 @dataclass(slots=True)
 class Outcome:
     """An attempt is over. Results: ok, read, full, stateless (full, and no state to fetch), error, timeout,
-    connect_failed, reset, cancelled, moot."""
+    connect_failed, local_error (this machine had no socket or route for it), reset, cancelled, moot."""
 
     request: int
     attempt: int
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -21,15 +21,22 @@
 
 from greenlet import getcurrent, greenlet
 
+from ..decide.held_up import ready_since
 from ..invariant import say
 
 MS, SECOND = 1_000_000, 1_000_000_000
 TICK, SLOTS = 2 * MS, 512  # of the wheel: one turn is about a second
 BOOT_ID = "/proc/sys/kernel/random/boot_id"
+MOST_WAIT = 100 * MS  # of one poll: by it a process that was stopped knows how long it was
 LATE = 40 * MS  # a round or a timer later than this is logged
 READ_SIZE = 16_384  # small, so that a greedy sender gets few bytes a turn
 A_ROUND = 64  # connections accepted at once
 ROUNDS_AT_CLOSE = 64  # of accepts in one go, as a listener closes
+POLL_FAILED_PAUSE = 0.002  # seconds
+DIAL_PAUSE, MOST_DIAL_PAUSE = 5 * MS, 20 * MS  # before a dial that failed on this machine is made again
+# Of connect() at once: no port, no route, no memory, or a full table on this machine.
+LOCAL_ERRORS = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN,
+                errno.EPERM, errno.EACCES)
 BLOCKED_PAUSE = 20 * MS  # of a listener that has something waiting and can't accept it
 HANG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 READABLE = select.POLLIN | HANG_UP
@@ -124,6 +131,8 @@
         self.after_round: list[Callable[[], None]] = []
         self.stopping = False
         self.rounds = self.worst_late = self.late_rounds = self.errors = 0
+        self.polled_at = self.ready_since = self.now()
+        self.held_up = self.longest_held_up = 0  # rounds that found what may have waited; and how long
 
     def now(self) -> int:
         return time.monotonic_ns() + self.offset
@@ -184,15 +193,31 @@
             self.round()
 
     def round(self) -> None:
-        if self.urgent or self.background:
-            wait = 0
-        else:
-            wait = max(0, -(-(self.wheel.next_due() * TICK - self.now()) // MS))
-        late = self.work(self.poller.poll(wait))
+        wait = 0
+        if not (self.urgent or self.background):
+            wait = min(MOST_WAIT // MS, max(0, -(-(self.wheel.next_due() * TICK - self.now()) // MS)))
+        late = self.work(self.poll(wait))
         if late > LATE:
             self.late_rounds += 1
         self.worst_late = max(self.worst_late, late)
 
+    def poll(self, wait: int) -> list[tuple[int, int]]:
+        """What is ready within so many milliseconds, and since when it may have been."""
+        begun = self.now()
+        try:
+            ready = self.poller.poll(wait)
+        except OSError:  # ENOMEM and the like pass: it must not end the process
+            self.report("poll")
+            time.sleep(POLL_FAILED_PAUSE)
+            ready = []
+        now = self.now()
+        self.ready_since = ready_since(self.polled_at, begun, wait * MS, now)
+        if now > self.ready_since:
+            self.held_up += 1
+            self.longest_held_up = max(self.longest_held_up, now - self.ready_since)
+        self.polled_at = now
+        return ready
+
     def work(self, ready: list[tuple[int, int]]) -> int:
         """One round after its poll; returns how late its last piece of work was, in nanoseconds."""
         start = self.now()
@@ -331,7 +356,7 @@
             except OSError as err:
                 self.failed[errno.errorcode.get(err.errno, "?")] += 1
                 return self.block()
-            self.accepted(Conn(self.loop, sock))
+            self.accepted(Conn(self.loop, sock, self.blocked_since))
         return Accepted.MORE
 
     def block(self) -> Accepted:
@@ -381,8 +406,9 @@
 class Conn:
     """A socket that parks the calling task. One task may read and another write at the same time."""
 
-    def __init__(self, loop: Loop, sock: socket.socket):
+    def __init__(self, loop: Loop, sock: socket.socket, waits_since: int = 0):
         self.loop, self.sock = loop, sock
+        self.waits_since = waits_since  # its first bytes may have been there since then; 0: as long as usual
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.reader: Task | None = None
@@ -390,20 +416,40 @@
         self.mask, self.closed, self.interrupted = 0, False, False
         self.hang_up_only = False  # the reader waits for the end of what comes, not for bytes
         self.idle: Callable[[], None] | None = None  # called once if anything happens while nobody reads
-        self.read_at = 0  # when the loop saw the last bytes
+        self.read_at = 0  # since when the bytes that were read last may have been there
 
     @classmethod
     def dial(cls, loop: Loop, address: tuple[str, int], wait: int) -> Conn:
+        """A connection that is up; Closed where the other side is at fault, NoRoom where this machine is.
+        Faults of this machine pass in a moment, so that is tried again until `wait` is over."""
+        until, pause = loop.now() + wait, DIAL_PAUSE
+        while True:
+            try:
+                return cls.dial_once(loop, address, max(MS, until - loop.now()))
+            except NoRoom:
+                if loop.now() + pause >= until:
+                    raise
+            loop.sleep(pause)
+            pause = min(2 * pause, MOST_DIAL_PAUSE)
+
+    @classmethod
+    def dial_once(cls, loop: Loop, address: tuple[str, int], wait: int) -> Conn:
         try:
             conn = cls(loop, socket.socket())
         except OSError as err:  # out of descriptors
             raise NoRoom(f"no socket: {err}") from None
         try:
-            if (err := conn.sock.connect_ex(address)) == errno.EINPROGRESS:
+            err = conn.sock.connect_ex(address)
+            if err in LOCAL_ERRORS:
+                raise NoRoom(f"no connection: {os.strerror(err)}")
+            if err in (errno.EINPROGRESS, errno.EINTR):
                 conn.wait(False, wait)
                 err = conn.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if err:
                 raise Closed(os.strerror(err))
+        except NoRoom:
+            conn.close()
+            raise
         except (OSError, Closed) as err:
             conn.close()
             raise Closed(f"no connection: {err}") from None
@@ -491,7 +537,8 @@
                 raise Closed("closed")
             try:
                 data = self.sock.recv(READ_SIZE)
-                self.read_at = self.loop.now()
+                self.read_at = self.waits_since or self.loop.ready_since
+                self.waits_since = 0
                 return data
             except BlockingIOError:
                 if self.interrupted:
--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -12,6 +12,7 @@
 from statistics import median
 from typing import Any
 
+from .decide import permits
 from .decide.fleet.board import READ, WRITE, Board
 from .decide.fleet.sums import Sums
 from .decide.fleet.zones import ZoneReachability
@@ -60,8 +61,6 @@
 SWEEP, SWEEP_IDLE = 20 * MS, 100 * MS  # between looks at what is held, and at what is merely out
 FORGET, LOG_GAP = 300 * SECOND, 5 * SECOND  # of ended requests never reported on; between log lines of a kind
 
-NEVER_RAN = ("full", "stateless", "connect_failed", "moot", "read")
-
 
 class Attempt:
     def __init__(self, n: int, engine: Engine, reads: bool, in_place: bool, sent: int, work: float,
@@ -406,7 +405,7 @@
         engines = [e for e in engines if e.entry.zone not in r.silent_zones] or engines
         failed = self.dials_failed
         failing = len(failed) == failed.maxlen and self.now - failed[0] < DIALS_WINDOW
-        if not failing and all(a.result != "connect_failed" for a in r.attempts):
+        if not failing and all(a.result not in permits.NOT_SENT for a in r.attempts):
             return engines
         return [e for e in engines if self.now - e.heard < self.s.idle_close] or engines
 
@@ -438,7 +437,7 @@
             return
         a.result = event.result
         r.out -= 1
-        if event.result != "connect_failed":  # rule 5: while connections fail to come up, its time runs on
+        if event.result not in permits.NOT_SENT:  # rule 5: while connections don't come up, its time runs on
             r.settled = self.now
         self.account(r, a, event)
         if r.stage != "ended" and event.ended:
@@ -466,6 +465,8 @@
             # and each attempt be dropped just before its turn: a storm. Clients leave early, too.
             work = a.ahead + a.work + OVERHEAD_TOKENS if a.reads else 1
             self.health.sample(e, max(e.pace, event.took / work), self.now, unheard)
+        if event.result == "local_error":
+            return  # this machine had no socket or route: it says nothing of the engine
         if event.result == "connect_failed":
             self.dials_failed.append(self.now)
             e.heard = 0
@@ -505,7 +506,8 @@
         if event.result == "read":
             r.stage, r.state_at, r.holds, self.staged[r.id] = "staged", a.engine, True, r
             return
-        r.avoid.append(a.engine.id)
+        if event.result != "local_error":
+            r.avoid.append(a.engine.id)
         if a.reads or event.result == "stateless" or r.state_at is None:
             r.state_at = None
             self.again(r)
@@ -528,22 +530,16 @@
         return a.reads or r.cls.effect != "unsafe"
 
     def allowed(self, r: Request, e: Engine | None) -> bool:
-        """Rule 2: may it be sent again (to e, even to read), or refused (e is None)? Reads have no effect."""
+        """Rule 2: may it be sent again (to e, even to read), or refused (e is None)?"""
         if r.cls.effect == "safe" or not (risky := self.risky(r)):
             return True
-        if r.cls.effect != "keyed":
-            return False
+        earlier = [permits.Earlier(a.sent, a.engine.entry.zone, a.engine.entry.cell) for a in risky]
         if e is None:
-            return r.cls.group == "all"
-        first = risky[0]
-        if self.now + self.s.tick >= first.sent + r.cls.key_ttl:
-            return False
-        mine, its = e.entry, first.engine.entry
-        return r.cls.group == "all" or mine.zone == its.zone and (r.cls.group == "zone" or (
-            r.cls.group == "cell" and mine.cell == its.cell))
+            return permits.refuse(r.cls, earlier) is None
+        return permits.repeat(r.cls, earlier, e.entry, self.now, self.s.tick) is None
 
     def risky(self, r: Request) -> list[Attempt]:  # those that may have run
-        return [a for a in r.attempts if not a.reads and a.result not in NEVER_RAN]
+        return [a for a in r.attempts if permits.may_have_run(a.reads, a.result)]
 
     def send(self, r: Request, e: Engine, reads: bool, work: float, expected: float,
              claimed: int = 0, home: bool = False) -> bool:
@@ -740,7 +736,7 @@
             # Guards rule 5, whose time runs on while dials fail: after one none begins that might end too
             # late, nor a second after a write given up as silent, which may have ended before.
             late = self.now + self.s.dial_timeout > r.settled + self.s.release_within + HOLD_GRACE
-            spent = r.attempts[-1].result == "connect_failed" and (
+            spent = r.attempts[-1].result in permits.NOT_SENT and (
                 late or (self.held_long(r) and not r.attempts[-2].reads))
             e = None if spent else self.pick_writer(r, r.state_at)
             if e is not None and self.send(r, e, False, 0.0, self.health.typical(e.role)):
--- a/claycross/upstream/http1.py
+++ b/claycross/upstream/http1.py
@@ -15,9 +15,10 @@
 from ..net.http1 import MAX_BODY, Body, End, Head, Malformed, Messages, request
 from ..net.loop import MS, SECOND, Closed, Conn, Loop, NoRoom, TimedOut
 from .answers import SMALL, Answer
-from .interface import CUT_OFF, NEVER_WENT, Result, Small
+from .interface import CUT_OFF, NEVER_WENT, NO_SOCKET, Result, Small
 
 REST = 10 * MS  # of a connection after use: what its engine sends behind an answer is seen by then
+BOUND_PAUSE = 5 * MS  # between looks whether there is room in a pool at its bound
 CALL_WAIT = 400 * MS  # for the answer of a call that carries no request
 LARGEST_CHUNK = 1 << 20
 
@@ -50,8 +51,11 @@
 
     def dial(self, address: Address) -> Conn:
         """A new one, in use; drop() ends that."""
-        if self.open >= self.limit and not self.make_room():
-            raise NoRoom("no connection: the pool is at its bound")
+        until = self.loop.now() + self.dial_timeout
+        while self.open >= self.limit and not self.make_room():
+            if self.loop.now() >= until:
+                raise NoRoom("no connection: the pool is at its bound")
+            self.loop.sleep(BOUND_PAUSE)
         self.open += 1
         self.used += 1
         self.dialled += 1
@@ -123,6 +127,8 @@
         out, address = answer.out, endpoint.address
         try:
             conn = self.pool.get(address)
+        except NoRoom:
+            return NO_SOCKET
         except Closed:
             return NEVER_WENT
         if not self.may_go(t):  # a drain was told, or nobody waits any more, while it was connecting
--- a/claycross/upstream/interface.py
+++ b/claycross/upstream/interface.py
@@ -40,6 +40,7 @@
 
 
 NEVER_WENT = Result("connect_failed")  # nothing of it ran there
+NO_SOCKET = Result("local_error")  # nor did anything leave this machine; the engine has no part in it
 CUT_OFF = Result("reset")  # it may have run
 
 
--- a/tests/test_held_up.py
+++ b/tests/test_held_up.py
@@ -1,7 +1,10 @@
 """A process that was held up, by SIGSTOP here, counts the time that requests spent waiting for it."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from claycross.decide.held_up import HELD_UP, ready_since
 from claycross.emulator.faults import Field, SystemFaults
 from standins.servers import Engine, passes
 from tests.test_crossings import stopped
@@ -33,3 +36,21 @@
         faults.clear()
         assert c.answer().status == 200
     assert int(writer.asked[1]["x-timeout-ms"]) <= 6000 - 1000 + 150
+
+
+@given(st.lists(st.tuples(st.integers(0, 300), st.integers(0, 100), st.integers(0, 400)), max_size=20),
+       st.data())
+def test_what_is_found_is_never_said_to_be_much_younger_than_it_is(rounds, data):
+    """Work, the span of a poll and how long it took, in milliseconds; bytes come at any moment since the poll
+    before found none."""
+    ms, polled, now = 1_000_000, 0, 0
+    for work, span, took in rounds:
+        begun = now + work * ms
+        now = begun + took * ms
+        came = data.draw(st.integers(polled, now))
+        assert ready_since(polled, begun, span * ms, now) <= max(came, polled) + HELD_UP + span * ms
+        polled = now
+
+
+def test_a_process_that_runs_as_it_should_counts_nothing():
+    assert ready_since(0, 1_000_000, 100_000_000, 90_000_000) == 90_000_000
