Spans come from the monotonic clock; another machine's start is an identity, not a time

Reads of the restarted engine in its first second, in the second after warm-after, beside 54 to 57 of a warm one: an hour back 58, 10 s back 57, an hour and 10 s ahead 0 and 0.

Ruled out: a step of the gateway's own clock while it runs (its clock was an offset taken at the start), steps of a second.

Lines at fault: Loop.now was Unix time as of the start, compared with boot_ms in cold, warmth and slow_start_budget; Router.on_list took only a later start for a restart.

Change: Loop.now is the monotonic clock; decide/engine_starts.py owns what a told start means here: any difference is a restart, and a claim of age is believed only as far as discovery's last word and the engine's last answer bear it out; one beyond that, or in the future, counts as starting now (log line engine-start-doubted). Times that are no times are named once and spoil nothing else. Log stamps alone stay Unix time.

--- a/claycross/commands.py
+++ b/claycross/commands.py
@@ -133,7 +133,7 @@
     try:
         file = read(fleet, FleetFile)
         loop = Loop()
-        world = World(loop, file, lambda text: say(f"{loop.now() / SECOND:.3f} emulator {text}"))
+        world = World(loop, file, lambda text: say(f"{loop.stamp() / SECOND:.3f} emulator {text}"))
     except BadSettings as err:
         complain(str(err))
     except OSError as err:
--- /dev/null
+++ b/claycross/decide/engine_starts.py
@@ -0,0 +1,95 @@
+"""When each engine started, on this process's own clock.
+
+Owns the reading of start times that other machines tell by their wall clocks. Such a time is an identity: any
+difference, either way, is another process. As evidence of age it counts only as far as this gateway's own
+observations bear it out: an engine that is seen to restart, or that appears later, can't have started before
+discovery last spoke without telling so, nor before the engine last answered as the process before. A time
+that claims far more than that was told by a clock that was stepped, and the engine counts as starting now;
+so does one that starts in the future. In the first whole list after this process's own start nothing else is
+known, and what is told is believed, but never a start in the future. It must never make an engine older than
+it can be shown to be, or cold for longer than the settings' time after it was first seen. It reads no clock
+and does no I/O: times are nanoseconds and come in as arguments.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from ..interface import EngineEntry, EngineList
+
+TOLD_WITHIN = 6_000_000_000  # ns by which a change may be told late: no claim beyond that is believed
+MOST_FORMER = 4_096  # engines that left the list and are remembered
+LONG_AGO = 0  # as `EngineEntry.started_at`
+UNKNOWN = -1  # as `EngineEntry.boot`: told, but no time that could be meant
+
+
+@dataclass(slots=True)
+class Start:
+    """What is known of one engine's process."""
+
+    boot: int  # as it was told: its identity
+    at: int  # on this process's clock; LONG_AGO
+
+
+class EngineStarts:
+    """The starts of all engines that are listed, and of some that were."""
+
+    def __init__(self, answered: Callable[[str], int] = lambda engine: 0):
+        self.answered = answered  # when an engine last answered this gateway; 0: never
+        self.listed: dict[str, Start] = {}
+        self.former: dict[str, Start] = {}
+        self.implausible = 0  # times that were told and not believed
+        self.news: list[str] = []  # of them, for the log; taken by the caller
+
+    def view(self, found: EngineList, now: int, wall: int, word_before: int) -> EngineList:
+        """The list with each engine's start on this process's clock. `wall`: Unix time now; `word_before`:
+        when discovery last spoke before it told this; 0: it had not."""
+        if found.kind == "failed":
+            return found
+        before = dict(self.listed)
+        if found.kind != "changes":
+            self.leave(set(self.listed) - {entry.engine for entry in found.entries})
+        entries = []
+        for entry in found.entries:
+            if entry.condition == "gone":
+                self.leave({entry.engine})
+                entries.append(entry)
+                continue
+            known = before.get(entry.engine) or self.former.pop(entry.engine, None)
+            start = self.start(entry, known, now, wall, word_before)
+            self.listed[entry.engine] = start
+            entries.append(replace(entry, started_at=start.at, boot=start.boot))
+        return EngineList(found.kind, entries)
+
+    def leave(self, engines: set[str]) -> None:
+        """They are listed no longer; their identities are remembered for a while."""
+        for engine in sorted(engines & self.listed.keys()):
+            self.former[engine] = self.listed.pop(engine)
+        while len(self.former) > MOST_FORMER:
+            del self.former[next(iter(self.former))]
+
+    def start(self, entry: EngineEntry, known: Start | None, now: int, wall: int, word_before: int) -> Start:
+        """What is believed of one entry."""
+        boot = entry.boot
+        if known and (boot == known.boot or boot in (0, UNKNOWN)):
+            return known  # the same process, or nothing that says otherwise
+        if boot == UNKNOWN:
+            return Start(boot, self.doubt(entry, now, "no time"))
+        if boot == 0 and not word_before:
+            return Start(boot, LONG_AGO)
+        if boot == 0:
+            return Start(boot, now if known else LONG_AGO)
+        age = wall - boot
+        if not word_before:
+            return Start(boot, self.doubt(entry, now, "in the future") if age < 0 else now - age)
+        most = now - max(word_before, self.answered(entry.engine))
+        if age < 0 or age > most + TOLD_WITHIN:
+            return Start(boot, self.doubt(entry, now, f"age_ms={age // 1_000_000}"))
+        return Start(boot, now - min(age, most))
+
+    def doubt(self, entry: EngineEntry, now: int, why: str) -> int:
+        """The engine counts as starting now; why is said once for each time that it is told."""
+        self.implausible += 1
+        self.news.append(f"engine-start-doubted engine={entry.engine} boot={entry.boot} why={why}")
+        return now
--- a/claycross/decide/learned.py
+++ b/claycross/decide/learned.py
@@ -28,7 +28,7 @@
 def lessons(router: Router, now: int, clock: str) -> dict[str, Any]:
     """What this module has learned, bounded; JSON's kinds only. `clock` names the clock that `now` is of."""
     health, table = router.health, router.table
-    engines = {e.id: [e.pace, e.samples, e.entry.started_at] for e in health.engines.values() if e.samples}
+    engines = {e.id: [e.pace, e.samples, e.entry.identity] for e in health.engines.values() if e.samples}
     sessions = list(table.sessions.items())[-MOST_SESSIONS:]
     prefixes = list(table.prefixes.items())[-MOST_PREFIXES:]
     return {
@@ -80,7 +80,7 @@
 def teach(router: Router, found: dict[str, Any], now: int) -> int:
     """Teaches judged lessons to a module that has its list; returns how many engines they named."""
     health, shared = router.health, router.table
-    started = {e.id: e.entry.started_at for e in health.engines.values()}
+    started = {e.id: e.entry.identity for e in health.engines.values()}
     same = {engine for engine, (_, _, at) in found["engines"].items() if started.get(engine) == at}
     fresh = not any(e.samples for e in health.engines.values())
     if fresh:  # what belongs to the whole role or to this module's own foretelling
--- a/claycross/emulator/serve.py
+++ b/claycross/emulator/serve.py
@@ -11,6 +11,7 @@
 import hashlib
 import json
 import random
+import time
 from collections import deque
 from collections.abc import Callable
 
@@ -119,14 +120,14 @@
 
     def __init__(self, world: World, engine: Engine, kind: Kind):
         self.engine, self.kind = engine, kind
-        self.boot_ms = 0 if engine.capacity(world.fleet.now) >= 1 else world.loop.now() // MS
+        self.boot_ms = 0 if engine.capacity(world.fleet.now) >= 1 else time.time_ns() // MS
         self.world = world
         super().__init__(world.loop, (world.file.host, 0), kind.connections, int(world.file.idle_s * SECOND),
                          world.file.streams)
 
     def open(self) -> None:
         if self.listener is None and self.engine.epoch:
-            self.boot_ms = self.loop.now() // MS
+            self.boot_ms = time.time_ns() // MS
         super().open()
 
     def target(self) -> dict[str, object]:
--- a/claycross/gateway.py
+++ b/claycross/gateway.py
@@ -17,6 +17,7 @@
 from .decide import learned, permits
 from .decide.bans import Bans, Verdict
 from .decide.confirmed import Confirmation, figures
+from .decide.engine_starts import EngineStarts
 from .decide.handover import Change, ChangeKind
 from .fronts.admin import AdminFront, Tenants
 from .fronts.base import Front
@@ -66,7 +67,8 @@
         self.reread: Callable[[], tuple[Config, Address]] | None = None  # the files anew, and whom to watch
         self.stopping, self.peers = False, None
         self.rounds: Rounds | None = None
-        self.began = self.loop.now()
+        self.began, self.began_stamp = self.loop.now(), self.loop.stamp()
+        self.starts = EngineStarts(self.answered)
         self.confirmed = Confirmation(self.began, figures(config.settings))
         self.bans = Bans()
         self.exposition: Figures | None = None
@@ -169,7 +171,7 @@
         return Reading(replies, sum(c.dispatches for c in self.cores), sum(c.taken() for c in self.cores),
                        len(listed), len(banned & listed.keys()), len(avoided - banned),
                        sum(e.condition == "draining" and e.engine not in banned for e in listed.values()),
-                       self.began / SECOND, more, self.gateways.figures() if self.gateways else {})
+                       self.began_stamp / SECOND, more, self.gateways.figures() if self.gateways else {})
 
     def set_down(self, engine: str) -> bytes:
         if not engine:
@@ -277,6 +279,10 @@
 
     def told(self, found: EngineList, endpoints: dict[str, Endpoint]) -> None:
         first = found.kind != "saved" and self.confirmed.word()
+        found = self.starts.view(found, self.loop.now(), time.time_ns(), self.discovery.word_before)
+        for text in self.starts.news:
+            self.log(text)
+        self.starts.news.clear()
         found = self.bans.view(found)
         self.learn(found)
         for core, side in zip(self.cores, self.sides, strict=True):
@@ -285,6 +291,10 @@
         if first:
             self.admit()
 
+    def answered(self, engine: str) -> int:
+        """When the engine last answered a request or call of this gateway; 0: never."""
+        return max((core.answered.get(engine, 0) for core in self.cores), default=0)
+
     def admit(self) -> None:
         """Discovery has spoken for the first time, or has not for so long that the saved list has to do."""
         if not self.confirmed.heard:
@@ -302,7 +312,7 @@
         self.core.list(EngineList("failed"))
 
     def log(self, text: str) -> None:
-        say(f"{self.loop.now() / SECOND:.3f} {self.config.name} {text}")
+        say(f"{self.loop.stamp() / SECOND:.3f} {self.config.name} {text}")
 
     def check(self) -> None:
         """What the parts believe against what is there; in debug builds more often, so that tests meet it."""
--- a/claycross/interface.py
+++ b/claycross/interface.py
@@ -90,8 +90,14 @@
     condition: str  # "ready", "draining" or "gone"
     zone: str = ""
     cell: int = 0
-    started_at: int = 0  # 0: long ago
+    started_at: int = 0  # on this process's clock; 0: long ago
     size: float = 1.0
+    boot: int = 0  # its start as it was told, by another machine's clock: an identity, not a time
+
+    @property
+    def identity(self) -> int:
+        """Differs from process to process of the engine; alike for all that list it."""
+        return self.boot or self.started_at
 
 
 @dataclass(slots=True)
--- a/claycross/membership/discovery.py
+++ b/claycross/membership/discovery.py
@@ -19,6 +19,7 @@
 from typing import Any, NamedTuple
 
 from .. import interface as i
+from ..decide.engine_starts import UNKNOWN
 from ..net.address import Address, Endpoint
 from ..net.http1 import Body, End, Head, Malformed, Messages, request
 from ..net.lines import TooLong, Values
@@ -30,6 +31,7 @@
 LATEST_FIRST_WORD, FIRST_WORD_MARGIN = 3 * SECOND, 2  # the most waited for; times the last that was seen
 LOGGED = 10  # of tries that fail one after the other, the first and every such one is a line in the log
 MAX_LINE = 4 << 20
+LATEST_BOOT = 10**14  # ms of Unix time: no start lies beyond the year 5138
 STATES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
 
 
@@ -74,13 +76,23 @@
     uid, state, endpoint = str(t["uid"]), STATES.get(t["state"]), None
     if state is None:
         raise Junk(f"state {t['state']!r} is not known")
-    boot = int(t.get("boot_ms") or 0) * MS
+    boot = read_boot(t.get("boot_ms"))
     if state != "gone":
         host, _, port = str(t["endpoint"]).rpartition(":")
         endpoint = Endpoint(host, int(port), str(t.get("protocol") or ""), boot)
     return i.EngineEntry(
-        uid, str(t.get("model", "")), state, str(t.get("az", "")), int(t.get("pod_group") or 0), boot,
-        float(t.get("capacity_hint") or 1)), endpoint
+        uid, str(t.get("model", "")), state, str(t.get("az", "")), int(t.get("pod_group") or 0),
+        size=float(t.get("capacity_hint") or 1), boot=boot), endpoint
+
+
+def read_boot(told: Any) -> int:
+    """A start as it is told, in nanoseconds: 0 for long ago or missing, UNKNOWN for what is no time."""
+    if told is None:
+        return 0
+    number = float(told)  # text that is no number spoils the entry
+    if not (0 <= number <= LATEST_BOOT and number == int(number)):
+        return UNKNOWN
+    return int(told) * MS
 
 
 class FirstWord:
@@ -130,6 +142,7 @@
         self.dial, self.longest = dial, longest  # of a try, and between two: what is told meanwhile is late
         self.version, self.told_by = 0, address  # of the list, and whose version that is
         self.back_off, self.failed = min(BACK_OFF, longest), 0
+        self.last_word = self.word_before = 0  # when discovery last spoke, and when before that
         self.turn = self.heard = 0  # moves to another address so far, and the last that has told something
         self.conns: dict[int, Conn] = {}  # by turn: two while a move is on
         self.asking = -1  # the turn in which the module's watch is under way
@@ -232,6 +245,7 @@
                     if not heard:
                         self.first_word_wait.seen(self.loop.now() - asked)
                     heard = self.loop.now()
+                    self.word_before, self.last_word = self.last_word, heard
                     if any(found):
                         self.told_something(turn)
                     yield from found
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -25,6 +25,7 @@
 from ..invariant import say
 
 MS, SECOND = 1_000_000, 1_000_000_000
+EPOCH = 10**18  # ns
 TICK, SLOTS = 2 * MS, 512  # of the wheel: one turn is about a second
 BOOT_ID = "/proc/sys/kernel/random/boot_id"
 MOST_WAIT = 100 * MS  # of one poll: by it a process that was stopped knows how long it was
@@ -119,7 +120,7 @@
 
 class Loop:
     def __init__(self) -> None:
-        self.offset = time.time_ns() - time.monotonic_ns()  # Unix time, but never set back while we run
+        self.started_unix = time.time_ns() - time.monotonic_ns()
         self.clock_id = monotonic_clock_id()
         self.poller = select.poll()
         self.watched: dict[int, Callable[[int], None]] = {}
@@ -135,7 +136,13 @@
         self.held_up = self.longest_held_up = 0  # rounds that found what may have waited; and how long
 
     def now(self) -> int:
-        return time.monotonic_ns() + self.offset
+        """The monotonic clock, for every span and order of events. It counts from EPOCH, so that 0 is long
+        ago on a machine that has just started, too."""
+        return time.monotonic_ns() + EPOCH
+
+    def stamp(self) -> int:
+        """For people, in logs: Unix time at the start plus what has passed since. Never compared."""
+        return time.monotonic_ns() + self.started_unix
 
     # ------------------------------------------------------------ tasks and timers
 
--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -343,7 +343,7 @@
                 self.drop(entry.engine)
             elif entry.engine in engines:
                 e = engines[entry.engine]
-                if entry.started_at > e.entry.started_at:
+                if entry.started_at != e.entry.started_at:
                     e.reset()
                     self.table.forget_reader(e.id)
                 e.entry = entry
--- a/tests/test_wall_clocks.py
+++ b/tests/test_wall_clocks.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from claycross.emulator.faults import SystemFaults
+from claycross.emulator.faults import Field, SystemFaults
 from standins.servers import Client, Engine, chat, eventually, passes
 
 WARM_AFTER = 3.0
@@ -61,7 +61,7 @@
     s.discovery.tell(reader.target(boot_ms=int((time.time() + step) * 1000)))
 
 
-@pytest.mark.parametrize("step", [0, -3600, -10, 3600])
+@pytest.mark.parametrize("step", [0, -3600, -10, -1, 10, 3600])
 def test_an_engine_that_restarts_warms_up_whatever_its_clock_says(loaded, step):
     """Its first second is as cold as with a right clock, and it is warm soon after `warm-after`."""
     s, _, reader = loaded
@@ -71,3 +71,25 @@
     passes(WARM_AFTER - 1.0)
     again = reads_in(reader, 1.0)
     assert cold < 0.45 * warm and again > 0.5 * warm, (warm, cold, again)
+
+
+@pytest.mark.parametrize("step", [-3600, 3600])
+def test_a_step_of_the_gateways_own_clock_changes_nothing_about_its_engines(loaded, step):
+    """Neither which are warm, nor how one that restarts after the step is taken."""
+    s, faults, reader = loaded
+    warm = reads_in(reader, 1.0)
+    faults.set(Field.WALL_OFFSET_NS, step * 10**9)
+    assert reads_in(reader, 1.0) > 0.5 * warm
+    restart(s, reader, 0)
+    assert reads_in(reader, 1.0) < 0.45 * warm
+
+
+def test_an_engine_that_restarts_unseen_with_its_clock_set_back_is_a_new_process(loaded):
+    """Discovery tells only the new start; its table of kept prefixes must not outlive it."""
+    s, _, reader = loaded
+    restart(s, reader, 0, seen=False)
+    passes(WARM_AFTER + 0.2)
+    warm = reads_in(reader, 1.0)
+    restart(s, reader, -3600, seen=False)
+    cold = reads_in(reader, 1.0)
+    assert cold < 0.45 * warm, (warm, cold)
