An attempt that is given up takes back what its engine has not got yet

Change: Conn.abort closes with a reset where the system still holds undelivered bytes (SIOCOUTQ), and Http1.attempt uses it wherever an attempt is called off. An attempt whose bytes have all arrived ends as before.

--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -6,12 +6,16 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
+import fcntl
 import os
 import select
 import signal
 import socket
+import struct
 import sys
+import termios
 import time
 import traceback
 from collections import Counter, deque
@@ -30,6 +34,8 @@
 BOOT_ID = "/proc/sys/kernel/random/boot_id"
 MOST_WAIT = 100 * MS  # of one poll: by it a process that was stopped knows how long it was
 LATE = 40 * MS  # a round or a timer later than this is logged
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # as SO_LINGER: nothing is sent any more
+OUT_QUEUE = struct.Struct("i")
 READ_SIZE = 16_384  # small, so that a greedy sender gets few bytes a turn
 A_ROUND = 64  # connections accepted at once
 ROUNDS_AT_CLOSE = 64  # of accepts in one go, as a listener closes
@@ -599,6 +605,21 @@
         except OSError as err:
             raise Closed(str(err)) from None
 
+    def abort(self) -> None:
+        """Closes it; what the system holds and the other side has not got yet is thrown away. An orderly
+        close would have the system go on sending that for as long as the other side takes to read it."""
+        if not self.closed and self.undelivered():
+            with contextlib.suppress(OSError):
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self.close()
+
+    def undelivered(self) -> int:
+        """Bytes that were sent here and that the other side's system has not acknowledged."""
+        try:
+            return OUT_QUEUE.unpack(fcntl.ioctl(self.sock, termios.TIOCOUTQ, bytes(OUT_QUEUE.size)))[0]
+        except OSError:
+            return 0
+
     def close(self) -> None:
         if self.closed:
             return
--- a/claycross/upstream/http1.py
+++ b/claycross/upstream/http1.py
@@ -136,7 +136,7 @@
             return NEVER_WENT
 
         def cut() -> bool:
-            conn.close()
+            conn.abort()  # what its engine has not got yet must not arrive later
             return True
         t.call = cut
         left = max(1, (t.timeout - (self.loop.now() - t.sent)) // MS)
