--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -61,6 +61,19 @@
         assert [c.answer().status, c.answer().status] == [200, 200]
 
 
+def test_time_that_bytes_waited_unread_counts(site, writer):
+    """More follows than is read ahead: the rest has waited in the gateway's own socket."""
+    s = site(Engine("p"), writer, release=True)
+    with s.client() as c:
+        c.sock.sendall(request("first") + request("second", body=b"x" * 60_000)
+                       + request("third", body=b"x" * 90_000) + request("fourth"))
+        eventually(lambda: writer.asked)
+        passes(2)
+        writer.go_on.set()
+        assert [c.answer().status for _ in range(4)] == [200] * 4
+    assert [int(m["x-timeout-ms"]) <= 6000 - 2000 + 150 for m in writer.asked[1:]] == [True] * 3
+
+
 def test_a_client_that_leaves_behind_much_unread_is_noticed(site, writer):
     """What follows its request is not read to the end, yet nothing more is sent for it."""
     readers = [Engine("p")]
--- a/tests/test_stop_with_waiting.py
+++ b/tests/test_stop_with_waiting.py
@@ -65,6 +65,16 @@
     assert s.process.wait(8) == 0
 
 
+def test_requests_that_are_read_behind_another_during_a_drain_are_answered(site):
+    """One that has been read is lost if its connection closes without an answer."""
+    s = site(Engine("p"), Engine("d"), release=True, door=True)
+    assert s.call("drain-on").startswith("ok")
+    with s.client() as c:
+        c.sock.sendall(request("first") + request("second") + request("third"))
+        assert [c.answer().status for _ in range(3)] == [200] * 3
+        assert c.to_end() == b""
+
+
 def test_an_accept_that_fails_for_a_moment_as_the_listener_closes_loses_nothing(site, tmp_path):
     faults = SystemFaults(tmp_path, "n0")
     s = site(Engine("p"), Engine("d"), release=True, environment=faults.environment())
