claycross soak; what was read is answered, unread bytes count, a start waits for sockets

The soak: two dozen gateways with shims under system calls, an emulator and relays; clients of which one in five leaves, sends in a row, half or junk; storms of two or three troubles drawn from a seed (emulator/troubles.py); judged by ten rules over what engines and clients met (emulator/judges.py).

Fixes: a connection that drains closes once nothing that was read waits behind the answer, and reads nothing ahead (found by the soak); Conn knows since when what it reads may have been there, until it has seen its socket empty (found by the soak); a start waits for sockets and addresses for 4 s (found by soaks side by side).

--- a/claycross/commands.py
+++ b/claycross/commands.py
@@ -23,6 +23,7 @@
     from .options import Cooperation
     from .options import Http2 as Http2Options
 
+MOST_SEEDS = 1000
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
                   help="The gateway of the chat service.")
 EmbeddingsOption = Annotated[str, typer.Option("--embeddings", help="File of the embeddings front.")]
@@ -180,6 +181,44 @@
     raise typer.Exit(0 if held else 1)
 
 
+def read_seeds(text: str) -> list[int]:
+    """Seeds as "7", "1-5" or "1,4,9"."""
+    try:
+        found = []
+        for part in text.split(","):
+            first, _, last = part.partition("-")
+            found += range(int(first), int(last or first) + 1)
+    except ValueError:
+        complain(f"seeds are numbers such as 7, 1-5 or 1,4,9, not {text!r}")
+    if not found or len(found) > MOST_SEEDS:
+        complain(f"one to {MOST_SEEDS} seeds, not {len(found)}")
+    return found
+
+
+@app.command()
+def soak(seeds: Annotated[str, typer.Option(help="Such as 7, 1-5 or 1,4,9.")] = "1",
+         seconds: Annotated[float, typer.Option(min=6, max=3600, help="Of load, each seed.")] = 30.0,
+         gateways: Annotated[int, typer.Option(min=2, max=40)] = 24,
+         rate: Annotated[float, typer.Option(min=1, max=200, help="Clients a second.")] = 30.0,
+         keep: Annotated[str, typer.Option(help="Folder in which logs and configurations are kept.")] = "",
+         cooperation: CooperationOption = "") -> None:
+    """Real gateways under storms of troubles that overlap, judged by the rules.
+
+    Exit status 0 only if no rule is broken on any seed."""
+    from .emulator.soak import play
+
+    broken_seeds = []
+    for seed in read_seeds(seeds):
+        try:
+            if not play(seed, seconds, gateways, rate, keep, cooperation):
+                broken_seeds.append(seed)
+        except BadSettings as err:
+            complain(str(err))
+    if broken_seeds:
+        print(f"BROKEN on seeds {', '.join(map(str, broken_seeds))}")
+    raise typer.Exit(1 if broken_seeds else 0)
+
+
 @app.command()
 def version() -> None:
     """Prints the version."""
--- a/claycross/decide/held_up.py
+++ b/claycross/decide/held_up.py
@@ -15,8 +15,6 @@
 def ready_since(last_poll: int, begun: int, span: int, now: int) -> int:
     """`last_poll`: when the poll before this one returned; `begun`: when this one began, for `span` at most;
     `now`: when it returned."""
-    if begun - last_poll > HELD_UP:
-        return last_poll
-    if now - begun > span + HELD_UP:
-        return begun + span
-    return now
+    working = begun - last_poll
+    overdue = max(0, now - begun - span)
+    return last_poll if working + overdue > HELD_UP else now
--- /dev/null
+++ b/claycross/emulator/client.py
@@ -0,0 +1,92 @@
+"""A client of a gateway on a socket of its own: it may leave early, send requests in a row, or junk.
+
+Owns one connection from its dial to its end, and the reading of answers. It must never take an answer that
+was cut short for a whole one.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from dataclasses import dataclass
+from typing import BinaryIO
+
+REFUSALS = (429, 503)
+
+
+class Broken(OSError):
+    """The connection ended in the midst of an answer."""
+
+
+@dataclass(slots=True)
+class Answer:
+    """One answer: "served", "refused", "failed", or "broken" after it began."""
+
+    how: str
+    first: float  # when its head was here, by the monotonic clock
+
+
+class Connection:
+    """One connection to a gateway."""
+
+    def __init__(self, port: int, timeout: float):
+        self.sock = socket.create_connection(("127.0.0.1", port), timeout=timeout)
+        self.port = self.sock.getsockname()[1]
+        self.file: BinaryIO = self.sock.makefile("rb")
+
+    def __enter__(self) -> Connection:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.file.close()
+        self.sock.close()
+
+    def send(self, data: bytes) -> None:
+        """All of it."""
+        self.sock.sendall(data)
+
+    def answer(self) -> Answer:
+        """The next answer; OSError where none begins."""
+        words = self.line().split()
+        first = time.monotonic()
+        if len(words) < 2 or not words[1].isdigit():
+            raise Broken("no status line")
+        try:
+            self.body(self.headers())
+        except OSError:
+            return Answer("broken", first)
+        status = int(words[1])
+        return Answer("served" if status == 200 else "refused" if status in REFUSALS else "failed", first)
+
+    def line(self) -> bytes:
+        line = self.file.readline()
+        if not line.endswith(b"\n"):
+            raise Broken("ended")
+        return line
+
+    def headers(self) -> dict[str, str]:
+        found = {}
+        while line := self.line().strip():
+            name, _, value = line.decode("latin-1").partition(":")
+            found[name.lower()] = value.strip()
+        return found
+
+    def body(self, headers: dict[str, str]) -> None:
+        if "chunked" not in headers.get("transfer-encoding", ""):
+            self.exactly(int(headers.get("content-length", 0)))
+            return
+        while size := int(self.line(), 16):
+            self.exactly(size + 2)
+        self.line()
+
+    def exactly(self, size: int) -> None:
+        if len(self.file.read(size)) != size:
+            raise Broken("ended in its body")
+
+
+def request(key: str, cls: str, session: str, prompt: int, span: float, body: bytes) -> bytes:
+    """The bytes of one chat request."""
+    lines = ["POST /v1/chat/completions HTTP/1.1", "Host: origin.svc", f"X-Request-ID: {key}",
+             f"X-Priority-Class: {cls}", f"X-Route-Key: {session}", f"X-Timeout-Ms: {int(span * 1000)}",
+             f"X-Attrs: prompt_len={prompt},max_out=60", f"Content-Length: {len(body)}"]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/claycross/emulator/demo.py
+++ b/claycross/emulator/demo.py
@@ -38,17 +38,30 @@
     first: list[float] = field(default_factory=list)  # seconds to the first byte of those served
 
 
+class Unreached(OSError):
+    """The connection found nobody listening: a front may pass its request on."""
+
+
 def ask(address: str, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None,
-        timeout: float = 30) -> tuple[int, bytes, float]:
+        timeout: float = 30, unreached: set[int] | frozenset[int] = frozenset()) -> tuple[int, bytes, float]:
     """Status, body and seconds to the first byte of one request. A connection that broke in the midst of
-    an answer raises http.client.IncompleteRead."""
-    start = time.monotonic()
+    an answer raises http.client.IncompleteRead. `unreached`: local ports whose connections a relay in between
+    could not pass on, looked at when one breaks."""
+    start, port = time.monotonic(), 0
     link = http.client.HTTPConnection(address, timeout=timeout)
     try:
+        link.connect()
+        port = link.sock.getsockname()[1]
         link.request(method, path, body, headers or {})
         answer = link.getresponse()
         first = time.monotonic() - start
         return answer.status, answer.read(), first
+    except ConnectionRefusedError:
+        raise Unreached from None
+    except (OSError, http.client.HTTPException):
+        if port in unreached:
+            raise Unreached from None
+        raise
     finally:
         link.close()
 
@@ -189,7 +202,7 @@
             try:
                 status, _, first = self.ask(address, "POST", path, body, headers)
                 how = {200: "served", 429: "refused", 503: "refused"}.get(status, f"failed with {status}")
-            except ConnectionRefusedError:
+            except Unreached:
                 continue
             except http.client.IncompleteRead:
                 how = "broken"
--- a/claycross/emulator/drill.py
+++ b/claycross/emulator/drill.py
@@ -27,7 +27,7 @@
 import msgspec
 
 from ..options import read
-from .demo import CLASSES, ROOT, Part, ask, settings
+from .demo import CLASSES, ROOT, Part, Unreached, ask, settings
 from .relay import Fault, Network, Spare
 
 DRAIN_WITHIN, HELD_WITHIN = 0.25 + 0.05, 0.3 + 0.3  # seconds: the rules, with the slack of many gateways
@@ -118,6 +118,8 @@
 
 
 class Drill:
+    words: tuple[str, ...] = ()  # further options of `serve`
+
     def __init__(self, folder: pathlib.Path, file: DrillFile, plain: bool, cooperation: str):
         self.folder, self.file, self.plain, self.cooperation = folder, file, plain, cooperation
         self.net, self.parts = Network(file.seed), list[Part]()
@@ -127,11 +129,16 @@
         self.down: dict[int, float] = {}  # gateway -> since when a front sends nothing there
         self.stopped: dict[int, list[tuple[float, float]]] = {}  # gateway -> spans killed, paused or stopping
         self.expected = set(range(file.gateways))  # that should run
+        self.engine_zones: dict[int, str] = {}  # port -> zone
         self.lock, self.zero, self.notes = threading.Lock(), 0.0, list[str]()
 
     def party(self, n: int) -> frozenset[str]:
         return frozenset(("gateways", f"g{n}", self.zone(n)))
 
+    def engine_party(self, port: int) -> frozenset[str]:
+        """The engine that listens at this port."""
+        return frozenset(("engines", self.engine_zones.get(port, "")))
+
     def zone(self, n: int) -> str:
         return self.file.zones[n % len(self.file.zones)]
 
@@ -144,10 +151,8 @@
         found = emulator.said(r"discovery=(\S+) control=(\S+)")
         self.discovery, self.control = found.groups()
         known = self.ask(self.discovery, "GET", "/api/targets")[1]
-        zones = {int(t["endpoint"].rpartition(":")[2]): t["az"] for t in json.loads(known)["targets"]}
-
-        def engine(port: int) -> frozenset[str]:
-            return frozenset(("engines", zones.get(port, "")))
+        self.engine_zones = {int(t["endpoint"].rpartition(":")[2]): t["az"]
+                             for t in json.loads(known)["targets"]}
         spare = Spare()
         listen = [spare.port(socket.SOCK_STREAM) for _ in range(f.gateways)]
         heard = [spare.port(socket.SOCK_DGRAM) for _ in range(f.gateways)]
@@ -155,7 +160,7 @@
         peers, everyone = net.do(lambda: net.udp(parties, heard))
         self.fronts = []
         for n in range(f.gateways):
-            lists = net.endpoints(parties[n], n, engine)
+            lists = net.endpoints(parties[n], n, self.engine_party)
             port = net.do(lambda n=n, lists=lists: net.tcp(
                 parties[n], frozenset(("discovery",)), int(self.discovery.rpartition(":")[2]), lists))
             self.fronts.append(net.do(lambda n=n: net.tcp(frozenset(("clients",)), parties[n], listen[n])))
@@ -164,16 +169,25 @@
                       "known": json.loads(net.do(lambda lists=lists: lists(known))),
                       "settings": self.settings(n), "peer_listen": f"127.0.0.1:{heard[n]}",
                       "peers": peers[n], "peers_all": everyone[n]}
-            (self.folder / f"g{n}.json").write_text(json.dumps(config))
+            (self.folder / f"g{n}.json").write_text(json.dumps(self.configured(n, config, spare)))
         spare.let_go()
-        words = [] if self.plain else ["--cooperation", str(ROOT / self.cooperation)]
+        words = [*self.words, *([] if self.plain else ["--cooperation", str(ROOT / self.cooperation)])]
         for n in range(f.gateways):
             self.gateways.append(Part(self.folder, f"g{n}", "serve", "--config",
-                                      str(self.folder / f"g{n}.json"), *words))
+                                      str(self.folder / f"g{n}.json"), *words,
+                                      environment=self.environment(n)))
         self.parts += self.gateways
         for part in self.gateways:
             part.said("serving listen")
 
+    def configured(self, n: int, config: dict[str, object], spare: Spare) -> dict[str, object]:
+        """The configuration of one gateway; a soak adds to it."""
+        return config
+
+    def environment(self, n: int) -> dict[str, str]:
+        """More of the environment of one gateway."""
+        return {}
+
     def settings(self, n: int) -> dict[str, object]:
         made = settings()
         made |= {"balancers": self.file.gateways, "me": n, "zone": self.zone(n),
@@ -218,12 +232,13 @@
             a.gateway = gateway
             try:
                 status, _, first = self.ask(f"127.0.0.1:{self.fronts[gateway]}", "POST",
-                                            "/v1/chat/completions", body, headers)
+                                            "/v1/chat/completions", body, headers,
+                                            unreached=self.net.unreached)
                 a.how = {200: "served", 429: "refused", 503: "refused"}.get(status, "failed")
                 a.took = first
+            except Unreached:
+                continue  # nobody was there, and nothing of it was read: a front tries the next
             except (OSError, http.client.HTTPException):
-                if self.away(gateway, a.came, self.since()) and self.since() - a.came < 0.2:
-                    continue  # nobody was there: a front tries the next
                 a.how, a.took = "broken", self.since() - a.came
             break
         ended = self.since()
--- /dev/null
+++ b/claycross/emulator/judges.py
@@ -0,0 +1,165 @@
+"""The rules that a soak is judged by, from what the engines and the clients met.
+
+Owns one function for each rule, pure, over records of one clock (the machine's monotonic one, in seconds).
+Each returns what broke the rule. A rule excuses only what its docstring names.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+DRAIN_WITHIN = 0.25 + 0.05  # after a drain was told
+TOLD_WITHIN = 6.0 + 0.3  # after discovery had it and could be reached, whatever was in the way
+LEFT_WITHIN = 0.1 + 0.1  # after a client left; the second part is for two busy processes on the way
+TIME_SLACK = 0.15
+LATE_WITHIN = 0.5
+RAN = ("first", "ok", "error", "reset")  # ends of an attempt at a writer after which it has run
+
+
+@dataclass(slots=True)
+class Asked:
+    """One request as its client met it."""
+
+    key: str
+    cls: str  # its effect: "browse" is safe, "licence" must not run twice
+    gateway: int
+    sent: float
+    span: float  # that the client waits for the first token
+    how: str = ""  # "served", "refused", "failed", "broken" in its stream, "unanswered", "left", "nobody"
+    first: float = 0.0  # when its answer began
+    ended: float = 0.0  # when its answer was whole, or its connection ended
+    behind: float = 0.0  # when the answer before it on its connection was whole; 0: it was the first
+    left: float = 0.0  # when the client closed; 0: it stayed
+    excused: bool = False  # its gateway was killed, or stopped for longer than allowed, while it had it
+
+
+@dataclass(slots=True)
+class Ran:
+    """One attempt as its engine met it."""
+
+    key: str
+    engine: str
+    role: str
+    begun: float
+    told: float  # the time that it was told is left
+    end: str
+
+
+@dataclass(slots=True)
+class Record:
+    """All that a soak saw."""
+
+    asked: list[Asked] = field(default_factory=list)
+    ran: list[Ran] = field(default_factory=list)
+    drains: dict[str, float] = field(default_factory=dict)  # engine -> when discovery or an operator told
+    unreached: list[tuple[float, float]] = field(default_factory=list)  # spans without discovery for some
+    engine_troubles: list[tuple[float, float]] = field(default_factory=list)  # at engines, or on ways to them
+    cuts: list[tuple[float, float]] = field(default_factory=list)  # ways to engines that held bytes back
+    held: list[str] = field(default_factory=list)  # requests whose state was left at an engine at the end
+    fell: int = 0  # engines that fell over in slow start
+    gone: list[str] = field(default_factory=list)  # processes that ended, or started too late
+    logged: list[str] = field(default_factory=list)  # breaches and errors in the gateways' logs
+
+
+def answered(record: Record) -> list[str]:
+    """Every request gets one answer by its time and half a second, but those of gateways that were killed.
+    One behind another has its turn after that one's answer, and gets its own by then if that is later."""
+    return [f"{a.key} {a.how or 'nothing'} after {a.first - a.sent:.2f} of {a.span:.2f} s at g{a.gateway}"
+            for a in record.asked if not a.excused and not a.left and (
+                a.how in ("", "unanswered") or a.first > max(a.sent + a.span, a.behind) + LATE_WITHIN)]
+
+
+def streams_whole(record: Record) -> list[str]:
+    """A stream breaks only with its engine, or with the way there."""
+    def troubled(a: Asked) -> bool:
+        return any(begin <= a.ended and end >= a.sent for begin, end in record.engine_troubles)
+    return [f"{a.key} at g{a.gateway}" for a in record.asked
+            if a.how == "broken" and not a.excused and not troubled(a)]
+
+
+def runs_once(record: Record) -> list[str]:
+    """A licence runs once at most; nothing excuses a second run."""
+    licences = {a.key for a in record.asked if a.cls == "licence"}
+    runs = Counter(r.key for r in record.ran if r.role != "read" and r.end in RAN and r.key in licences)
+    return [f"{key} ran {n} times" for key, n in runs.items() if n > 1]
+
+
+def none_after_leaving(record: Record) -> list[str]:
+    """No attempt begins once its client has left; nothing excuses it."""
+    left = {a.key: a.left for a in record.asked if a.left}
+    return [f"{r.key} at {r.engine} {r.begun - left[r.key]:.2f} s after its client left"
+            for r in record.ran if r.key in left and r.begun > left[r.key] + LEFT_WITHIN]
+
+
+def drained_get_nothing(record: Record) -> list[str]:
+    """An engine that drains gets nothing new once that was told, at the latest six seconds after a time in
+    which discovery could not be reached."""
+    def bound(told: float) -> float:
+        within = told + DRAIN_WITHIN
+        for begin, end in sorted(record.unreached):
+            if begin <= within and end >= told:
+                within = max(within, max(told, end) + TOLD_WITHIN)
+        return within
+    return [f"{r.key} at {r.engine} {r.begun - record.drains[r.engine]:.2f} s after its drain"
+            for r in record.ran if r.engine in record.drains and r.begun > bound(record.drains[r.engine])]
+
+
+def told_what_is_left(record: Record) -> list[str]:
+    """An engine is told at most the time that its client still waits, with 0.15 s of slack. What was said
+    right is late where the way to the engine held it back."""
+    by_key = {a.key: a for a in record.asked}
+
+    def held_back(r: Ran) -> bool:
+        return any(begin <= r.begun <= end + 0.5 for begin, end in record.cuts)
+    return [f"{r.key} at {r.engine} told {r.told:.2f}, left {left:.2f}" for r in record.ran
+            if (a := by_key.get(r.key)) and not held_back(r)
+            and r.told > (left := a.sent + a.span - r.begun) + TIME_SLACK]
+
+
+def nothing_held(record: Record) -> list[str]:
+    """No state is left at an engine, but those of requests whose gateway was killed."""
+    excused = {a.key for a in record.asked if a.excused}
+    return [key for key in record.held if key not in excused]
+
+
+def no_engine_falls(record: Record) -> list[str]:
+    """No engine in slow start gets more than it bears."""
+    return ["an engine in slow start"] * record.fell
+
+
+def processes_live(record: Record) -> list[str]:
+    """Processes run unless they were told to end, start in time, and end with status 0."""
+    return list(record.gone)
+
+
+def nothing_logged(record: Record) -> list[str]:
+    """No gateway counts a breach of its own invariants, or an error that nobody foresaw."""
+    return list(record.logged)
+
+
+RULES: dict[str, Callable[[Record], list[str]]] = {
+    "answered once and in time": answered,
+    "streams are passed on whole": streams_whole,
+    "a licence runs once at most": runs_once,
+    "nothing begins after a client has left": none_after_leaving,
+    "drained engines get nothing new": drained_get_nothing,
+    "engines are told what is left": told_what_is_left,
+    "nothing stays held": nothing_held,
+    "no engine falls in slow start": no_engine_falls,
+    "processes live": processes_live,
+    "no gateway counts a breach": nothing_logged,
+}
+
+
+def verdict(record: Record) -> dict[str, list[str]]:
+    """What broke each rule; and whether there was anything to judge."""
+    found = {name: rule(record) for name, rule in RULES.items()}
+    found["requests were asked and run"] = [] if record.asked and record.ran else ["nothing was seen"]
+    return found
+
+
+def holds(found: dict[str, Iterable[str]]) -> bool:
+    """Whether no rule is broken."""
+    return not any(found.values())
--- a/claycross/emulator/relay.py
+++ b/claycross/emulator/relay.py
@@ -48,6 +48,7 @@
         self.draw, self.faults, self.started = random.Random(seed), list[Fault](), threading.Event()
         self.jobs: list[Callable[[], None]] = []
         self.zero: int | None = None
+        self.unreached: set[int] = set()  # ports of the near side whose connection found nobody listening
         self.passed = 0
         self.datagrams: dict[tuple[int, int], socket.socket] = {}
         self.lists: dict[tuple[int, int], int] = {}  # (gateway, engine's port) -> relay's port
@@ -116,6 +117,7 @@
         try:
             far = Conn.dial(self.loop, ("127.0.0.1", port), SECOND)
         except Closed:
+            self.unreached.add(near.sock.getpeername()[1])
             return reset(near)
         self.loop.spawn(self.pump, near, far, source, target, None)
         self.pump(far, near, target, source, rewrite)
--- a/claycross/emulator/serve.py
+++ b/claycross/emulator/serve.py
@@ -42,7 +42,8 @@
         self.discovery = Discovery(self)
         self.control = Control(self)
         self.reads: dict[str, Job] = {}  # reads that are out, by request
-        # What reached engines, for an audit: request, engine, role, class, from, to (s), what it brought.
+        # What reached engines, for an audit: request, engine, role, class, from, to (s), what it brought, and
+        # the time that it was told is left (ms).
         self.attempts: deque[list[object]] = deque(maxlen=ATTEMPTS)
         self.drains: dict[str, float] = {}  # engine -> when it was told to
         for kind in file.kind:
@@ -203,7 +204,8 @@
         if self.engine.spec.role == "read":
             self.world.reads[job.key] = job
         record: list[object] = [job.key, self.engine.name, self.engine.spec.role,
-                                ask.head.get("x-priority-class"), self.world.since(), 0.0, ""]
+                                ask.head.get("x-priority-class"), self.world.since(), 0.0, "",
+                                int(ask.head.get("x-timeout-ms") or 0)]
         self.world.attempts.append(record)
         self.world.fleet.send(self.engine, job)
         self.world.pump()
@@ -361,7 +363,8 @@
             return ask.whole(200, [JSON], json.dumps(found).encode())
         if ask.head.method == "GET" and ask.head.target == "/audit":
             self.world.pump()
-            found = {"now": self.world.since(), "attempts": list(self.world.attempts),
+            found = {"now": self.world.since(), "monotonic": time.monotonic(),
+                     "attempts": list(self.world.attempts),
                      "drains": self.world.drains, "fell": self.world.fleet.counts["fell"],
                      "states": list(self.world.fleet.states)}
             return ask.whole(200, [JSON], json.dumps(found).encode())
--- /dev/null
+++ b/claycross/emulator/troubles.py
@@ -0,0 +1,111 @@
+"""Which troubles a soak has, and when: drawn from its seed.
+
+Owns the draw, pure and repeatable: storms of two or three troubles that overlap, one after the other. It must
+never draw what would leave the gateways nothing to serve with, such as all engines of a role drained.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+FIRST_STORM, STORM_EVERY, LAST_STORM = 1.5, 4.0, 3.0  # seconds; the last one so long before the load's end
+OVERLAP = 0.8  # seconds within which the troubles of a storm begin
+MOST_OUT = 3  # engines drained, killed or replaced in a run, of a role at most
+STEPS = (1, -1, 10, -10, 3600, -3600)  # seconds of a wall clock
+
+
+class Kind(StrEnum):
+    """One kind of trouble."""
+
+    KILL = "kill"  # SIGKILL, and a new process soon after
+    RESTART = "restart"  # SIGTERM, and a new process once it has ended
+    HOLD_UP = "hold-up"  # SIGSTOP for as long as the rules allow for
+    STOP = "stop"  # SIGSTOP for longer: what the gateway has meanwhile is excused
+    RELOAD = "reload"  # a new address of discovery, and SIGHUP
+    CALLS = "calls"  # accept, socket and connect fail now and then, waits are interrupted, reads are short
+    CLOCK = "clock"  # a gateway's wall clock is stepped
+    DISK = "disk"  # writes and syncs of the state fail
+    BAN = "ban"  # an operator takes an engine out; the process is killed once that was answered
+    DRAIN_GATEWAY = "drain-gateway"  # an operator's drain, and its end
+    ENGINE_DRAIN = "engine-drain"
+    ENGINE_RESTART = "engine-restart"  # killed, and back cold
+    ENGINE_SLOW = "engine-slow"
+    ENGINE_SILENT = "engine-silent"  # and replaced
+    STALL = "stall"  # discovery says nothing
+    CUT = "cut"  # between the gateways of a zone and the engines of another
+    RESET = "reset"  # of connections between them
+
+
+GATEWAYS = (Kind.KILL, Kind.RESTART, Kind.HOLD_UP, Kind.STOP, Kind.RELOAD, Kind.CALLS, Kind.CLOCK, Kind.DISK,
+            Kind.BAN, Kind.DRAIN_GATEWAY)  # troubles at gateways: each storm has them at different ones
+ENGINES = (Kind.ENGINE_DRAIN, Kind.ENGINE_RESTART, Kind.ENGINE_SILENT, Kind.ENGINE_SLOW)
+SPANS = {Kind.HOLD_UP: (0.05, 0.14), Kind.STOP: (0.4, 2.0), Kind.CALLS: (0.8, 3.0), Kind.DISK: (0.2, 1.5),
+         Kind.DRAIN_GATEWAY: (0.6, 2.0), Kind.ENGINE_RESTART: (0.2, 0.8), Kind.ENGINE_SLOW: (1.0, 3.0),
+         Kind.STALL: (0.5, 3.0), Kind.CUT: (0.5, 2.5), Kind.RESET: (0.2, 1.0), Kind.KILL: (0.05, 0.6)}
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """One trouble of a run."""
+
+    at: float  # seconds of the load
+    kind: Kind
+    span: float = 0.0
+    gateways: tuple[int, ...] = ()
+    engine: str = ""
+    zones: tuple[str, str] = ("", "")  # of the gateways, of the engines
+    value: int = 0  # seconds of a step
+
+    def __str__(self) -> str:
+        words = [f"{self.at:6.2f} s {self.kind}", f"for {self.span:.2f} s" if self.span else "",
+                 " ".join(f"g{n}" for n in self.gateways), self.engine, " -> ".join(filter(None, self.zones)),
+                 f"by {self.value} s" if self.value else ""]
+        return " ".join(word for word in words if word)
+
+
+def draw(seed: int, seconds: float, gateways: int, engines: list[str],
+         zones: tuple[str, ...]) -> list[Trouble]:
+    """All troubles of a run, in time. `engines`: names such as "prefill-3"."""
+    rng, troubles, spent = random.Random(f"troubles {seed}"), [], dict[str, set[str]]()
+    at = FIRST_STORM
+    while at < seconds - LAST_STORM:
+        free = list(range(gateways))
+        rng.shuffle(free)
+        for kind in rng.sample(list(Kind), rng.choice((2, 3, 3))):
+            begin = at + rng.uniform(0, OVERLAP)
+            span = round(rng.uniform(*SPANS[kind]), 2) if kind in SPANS else 0.0
+            if kind in GATEWAYS:
+                count = rng.randint(1, max(1, gateways // 6))
+                chosen, free = tuple(free[:count]), free[count:]
+                if not chosen:
+                    continue
+                target = rng.choice(engines) if kind is Kind.BAN else ""
+                value = rng.choice(STEPS) if kind is Kind.CLOCK else 0
+                troubles.append(Trouble(begin, kind, span, chosen, target, value=value))
+            elif kind in ENGINES:
+                if name := pick_engine(rng, engines, spent):
+                    troubles.append(Trouble(begin, kind, span, engine=name))
+            elif kind is Kind.STALL:
+                troubles.append(Trouble(begin, kind, span))
+            else:
+                troubles.append(Trouble(begin, kind, span, zones=(rng.choice(zones), rng.choice(zones))))
+        at += STORM_EVERY
+    return sorted(troubles, key=lambda t: t.at)
+
+
+def pick_engine(rng: random.Random, engines: list[str], spent: dict[str, set[str]]) -> str:
+    """One that no trouble had before; none once a role has had MOST_OUT."""
+    fit = [name for name in engines if name not in spent.setdefault(role(name), set())
+           and len(spent[role(name)]) < MOST_OUT]
+    if not fit:
+        return ""
+    name = rng.choice(fit)
+    spent[role(name)].add(name)
+    return name
+
+
+def role(engine: str) -> str:
+    """The kind in an engine's name."""
+    return engine.rpartition("-")[0]
--- a/claycross/fronts/base.py
+++ b/claycross/fronts/base.py
@@ -62,6 +62,10 @@
         self.times.add(len(data), at)
         self.messages.buffer += data
 
+    def empty(self) -> bool:
+        """Whether nothing waits that was read."""
+        return not self.messages.buffer
+
     def full(self) -> bool:
         """Whether no more is to be read before its turn."""
         return len(self.messages.buffer) >= MOST_AHEAD
@@ -132,7 +136,6 @@
                  passed: int | None = None):
         self.loop, self.core, self.limit = loop, core, limit
         self.draining = False  # every answer says that its connection closes
-        self.draining_since = 0
         self.shedding = False  # and a connection between two requests is closed
         self.clients: dict[Conn, tuple[int, int]] = {}  # what each is at, and since when; oldest first
         self.listener = Listener(loop, listen, self.accepted, self.room, passed=passed)
@@ -163,16 +166,12 @@
 
     def drain(self) -> None:
         """From now on every answer says that its connection closes; new connections are still taken."""
-        if not self.draining:
-            self.draining, self.draining_since = True, self.loop.now()
+        self.draining = True
 
     def ends_connections(self, inbox: Inbox | None) -> bool:
-        """Whether an answer that is given now ends its connection. A request that was received before the
-        drain began, and waits behind that answer, is owed its own."""
-        if not self.draining:
-            return False
-        waits_since = inbox.since() if inbox else 0
-        return not 0 < waits_since <= self.draining_since
+        """Whether an answer that is given now ends its connection. A request that was read behind the one it
+        answers is owed its own; while draining nothing is read ahead, so that there is an end."""
+        return self.draining and (inbox is None or inbox.empty())
 
     def shed(self) -> None:
         """Draining, and those that wait between requests are closed; a new one is given its first request."""
@@ -312,7 +311,7 @@
         try:
             while not exchange.over:
                 try:
-                    if inbox.full():
+                    if inbox.full() or self.draining:
                         conn.wait_for_hang_up()
                     elif data := conn.recv():
                         inbox.keep(data, conn.read_at)
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -44,6 +44,9 @@
 # Of connect() at once: no port, no route, no memory, or a full table on this machine.
 LOCAL_ERRORS = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN,
                 errno.EPERM, errno.EACCES)
+# Of a socket at the start.
+PASSING = (errno.EADDRINUSE, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN)
+START_WITHIN, START_PAUSE = 4 * SECOND, 0.05  # that is waited for; seconds
 BLOCKED_PAUSE = 20 * MS  # of a listener that has something waiting and can't accept it
 HANG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 READABLE = select.POLLIN | HANG_UP
@@ -318,6 +321,22 @@
     return sock
 
 
+def bound(address: tuple[str, int]) -> socket.socket:
+    """A TCP socket bound to this address. What passes in a moment (the process before that has not quite
+    gone, a full table) is waited for, START_WITHIN at most; it blocks, as a process that starts may."""
+    until = time.monotonic_ns() + START_WITHIN
+    while True:
+        try:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address)
+            return sock
+        except OSError as err:
+            if err.errno not in PASSING or time.monotonic_ns() >= until:
+                raise
+            time.sleep(START_PAUSE)
+
+
 class Accepted(Enum):
     """How a round of accepts ended."""
 
@@ -335,12 +354,7 @@
         self.loop, self.accepted, self.room = loop, accepted, room
         self.failed: Counter[str] = Counter()  # accepts, by the system's error
         self.shared = passed is not None  # held by the platform too: what waits in it is not ours alone
-        if passed is None:
-            self.sock = socket.socket()
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self.sock.bind(address)
-        else:
-            self.sock = inherited(passed)
+        self.sock = bound(address) if passed is None else inherited(passed)
         self.sock.setblocking(False)
         self.sock.listen(backlog)
         self.open, self.closed, self.paused = True, False, False
@@ -421,7 +435,8 @@
 
     def __init__(self, loop: Loop, sock: socket.socket, waits_since: int = 0):
         self.loop, self.sock = loop, sock
-        self.waits_since = waits_since  # its first bytes may have been there since then; 0: as long as usual
+        # What is there to be read may have been there since then; 0: there was nothing at the last look.
+        self.readable_since = waits_since
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.reader: Task | None = None
@@ -523,6 +538,7 @@
     def wait_for_hang_up(self) -> None:
         """Reads nothing; raises Closed once the other side ended its sending or the connection broke, and
         Interrupted after interrupt()."""
+        self.readable_since = self.readable_since or self.loop.now()
         while not self.interrupted:
             if self.closed:
                 raise Closed("closed")
@@ -550,10 +566,11 @@
                 raise Closed("closed")
             try:
                 data = self.sock.recv(READ_SIZE)
-                self.read_at = self.waits_since or self.loop.ready_since
-                self.waits_since = 0
+                self.readable_since = self.readable_since or self.loop.ready_since
+                self.read_at = self.readable_since
                 return data
             except BlockingIOError:
+                self.readable_since = 0
                 if self.interrupted:
                     self.interrupted = False
                     raise Interrupted from None
--- a/tests/test_signals_at_start.py
+++ b/tests/test_signals_at_start.py
@@ -35,7 +35,9 @@
 
 
 def start_with_signal(s, point, number):
-    """A second process of the site, which sends itself the signal at that point of its start."""
+    """A second process of the site, in place of the first; it sends itself the signal at that point."""
+    s.process.kill()
+    s.process.wait()
     config = str(s.folder / "config.json")
     at = s.command.index("claycross")
     s.command = [sys.executable, "-O", "-c", LAUNCHER, point, str(int(number)), config, *s.command[at + 1:]]
@@ -46,23 +48,18 @@
 def test_a_reload_that_comes_during_the_start_is_carried_out(site, point):
     """The configuration is read early in the start: one that is replaced after that counts all the same."""
     s = site(Engine("p"), Engine("d"))
-    first, other = s.process, Discovery().start()
+    other = Discovery().start()
     other.targets = dict(s.discovery.targets)
     (s.folder / "config.json.next").write_text(json.dumps({**s.config, "discovery": other.address}))
     try:
         start_with_signal(s, point, signal.SIGHUP)
         eventually(lambda: other.froms, 4)
     finally:
-        first.kill()
-        first.wait()
         other.close()
 
 
 def test_an_end_that_comes_during_the_start_is_an_orderly_one(site):
     s = site(Engine("p"), Engine("d"))
-    first = s.process
     process = start_with_signal(s, "socket:socket.listen", signal.SIGTERM)
     assert process.wait(8) == 0
     assert " stopped" in s.log()
-    first.kill()
-    first.wait()
