A process held up over a deadline fails a request that it should refuse: failing test

Forced with SIGSTOP over the deadline.

Line at fault: Core.overdue runs in the round's timers, the module's own timer for the same request is only heard in the flush after the round.

--- a/tests/test_held_up.py
+++ b/tests/test_held_up.py
@@ -6,7 +6,7 @@
 
 from claycross.decide.held_up import HELD_UP, ready_since
 from claycross.emulator.faults import Field, SystemFaults
-from standins.servers import Engine, passes
+from standins.servers import Engine, eventually, passes
 from tests.test_crossings import stopped
 from tests.test_pipelining import request
 
@@ -38,6 +38,19 @@
     assert int(writer.asked[1]["x-timeout-ms"]) <= 6000 - 1000 + 150
 
 
+def test_a_request_whose_time_ends_while_the_process_is_held_up_is_refused_as_ever(site):
+    """The module's own answer comes before the core's last resort, though both are due in one round."""
+    s = site(Engine("p", plan=lambda engine, message, wire: wire.gone()), Engine("d"), release=True)
+    with s.client() as c:
+        c.sock.sendall(request("waits", cls="browse", timeout=700))
+        eventually(lambda: s.engines[0].asked)
+        passes(0.4)
+        with stopped(s.process):
+            passes(0.5)
+        assert c.answer().status == 503
+    assert "answered-in-time" not in s.log()
+
+
 @given(st.lists(st.tuples(st.integers(0, 300), st.integers(0, 100), st.integers(0, 400)), max_size=20),
        st.data())
 def test_what_is_found_is_never_said_to_be_much_younger_than_it_is(rounds, data):
