--- a/claycross/core.py
+++ b/claycross/core.py
@@ -234,6 +234,9 @@
         return key in self.keys
 
     def overdue(self, r: Request) -> None:
+        """The last resort, after the module's own timer; where both are due in one round of a process that
+        was held up, the module is heard first."""
+        self.flush()
         if not r.over and not r.stream:
             self.answer(r, "overdue", r.reply.fail)
             self.push(i.Abandoned(r.number))
--- a/claycross/emulator/relay.py
+++ b/claycross/emulator/relay.py
@@ -23,6 +23,7 @@
 from .wires import reset
 
 ENDPOINT = re.compile(rb'("endpoint": ?"127\.0\.0\.1:)(\d{5})"')
+LISTEN_PORTS = (12_000, 32_000)
 LOOK = 20 * MS  # between looks at a way that is cut
 RESENT = 200 * MS  # by which TCP is late where a packet is lost
 
@@ -199,13 +200,17 @@
 
 @dataclass(slots=True)
 class Spare:
-    """Ports found free, held until whoever is to bind them starts."""
+    """Ports found free, held until whoever is to bind them starts. They lie below those that the system gives
+    to outgoing connections, one of which could have them while a process is started again."""
 
     held: list[socket.socket] = field(default_factory=list)
 
     def port(self, kind: int) -> int:
         s = socket.socket(socket.AF_INET, kind)
-        s.bind(("127.0.0.1", 0))
+        while True:
+            with contextlib.suppress(OSError):
+                s.bind(("127.0.0.1", random.randrange(*LISTEN_PORTS)))
+                break
         self.held.append(s)
         return s.getsockname()[1]
 
--- a/claycross/emulator/soak.py
+++ b/claycross/emulator/soak.py
@@ -27,6 +27,7 @@
 from .demo import CLASSES
 from .drill import Drill, DrillFile
 from .faults import Field, SystemFaults
+from ..net.loop import SECOND
 from .judges import Asked, Ran, Record, holds, verdict
 from .relay import Fault, Spare
 from .troubles import Kind, Trouble, draw
@@ -377,6 +378,7 @@
                            for key, engine, role, _, begun, _, end, told in found["attempts"]]
         self.record.drains = {engine: zero + at for engine, at in found["drains"].items()}
         self.record.held, self.record.fell = found["states"], found["fell"]
+        self.record.lag = self.fleet.net.loop.longest_late / SECOND + found["lag"]
 
     def end_all(self) -> None:
         """Every gateway is told to end, and its log is read."""
@@ -414,7 +416,8 @@
     failed_calls = sum(shim.get(Field.FAILED) for shim in soak.fleet.shims)
     click.echo(f"seed {seed}: {len(soak.fleet.parts)} processes, {len(soak.troubles)} troubles, "
                f"{len(soak.record.asked)} requests ({dict(sorted(how.items()))}, {excused} excused), "
-               f"{len(soak.record.ran)} attempts, {failed_calls} system calls made to fail")
+               f"{len(soak.record.ran)} attempts, {failed_calls} system calls made to fail, "
+               f"own lag {soak.record.lag:.2f} s")
     for trouble in soak.troubles:
         click.echo(f"  {trouble}")
     for rule, these in found.items():
