A write that was given up has what it waited for let go once more

Change: where a write was cancelled or timed out before its first token, each holder is called once more after 60 ms, as it is for reads that were cut off. The soak's own lag counts what its relays' loop was held up, too.

--- a/claycross/core.py
+++ b/claycross/core.py
@@ -21,6 +21,7 @@
 
 MS, SECOND = 1_000_000, 1_000_000_000
 SPARE = 20 * MS  # after a deadline, until a request that the module left unanswered is failed here
+GIVEN_UP = ("cancelled", "timeout")  # outcomes of attempts that were called off here
 DOUBT_AGAIN = 60 * MS  # a read that was cut off may have ended well while the release call was on its way
 # Of a stream, until it is taken for broken: a client may be kept waiting for 5 s after the last event.
 IDLE_TIMEOUT, IDLE_TIMEOUT_RESUMED = 4500 * MS, 4 * SECOND
@@ -69,6 +70,7 @@
         self.over = False  # answered, failed, refused or left: terminal
         self.stream: Attempt | None = None  # the attempt that belongs to the client
         self.holders: dict[str, bool] = {}  # engines that may hold something; True: a read was cut off there
+        self.write_given_up = False  # it may wait for what is held until its engine has seen its end
         self.out = 0  # attempts whose outcome the module has not been told
         self.guard: Any = None  # the timer of its deadline
 
@@ -355,6 +357,8 @@
             r.holders.pop(t.engine, None)
         elif t.reads and result != "read" and t.engine in r.holders:
             r.holders[t.engine] = True
+        elif not t.reads and result in GIVEN_UP and not t.began:
+            r.write_given_up = True
         self.count(result)
         if result not in permits.UNHEARD:
             self.heard(t.engine)
@@ -463,14 +467,15 @@
 
     def let_go(self, a: i.Release, gone: Request | None = None) -> None:
         """Asks each engine that may hold something for the request to let go of it, until one has heard. In
-        doubt it is asked again: what was cut off may have ended well behind the first call. Both are under
-        way from now on, so that a gateway that stops stays for both."""
+        doubt it is asked again: what was cut off may have ended well behind the first call, and a write that
+        was given up may have waited for the state then, which spares it. Both are under way from now on, so
+        that a gateway that stops stays for both."""
         r = gone or self.open.get(a.request)
         if not r:
             return
         for engine, doubt in r.holders.items():
             self.advance_release(self.new_release(engine, r.key, doubt))
-            if doubt:
+            if doubt or r.write_given_up:
                 self.wait_for_release(self.new_release(engine, r.key, doubt, DOUBT_AGAIN))
         r.holders.clear()
 
--- a/claycross/emulator/soak.py
+++ b/claycross/emulator/soak.py
@@ -378,7 +378,8 @@
                            for key, engine, role, _, begun, _, end, told in found["attempts"]]
         self.record.drains = {engine: zero + at for engine, at in found["drains"].items()}
         self.record.held, self.record.fell = found["states"], found["fell"]
-        self.record.lag = self.fleet.net.loop.longest_late / SECOND + found["lag"]
+        loop = self.fleet.net.loop
+        self.record.lag = max(loop.longest_late, loop.longest_held_up) / SECOND + found["lag"]
 
     def end_all(self) -> None:
         """Every gateway is told to end, and its log is read."""
