The soak's judges are shown to find a fault for each rule, and none where there is none

The soak measures its own lag by a call through a relay every 50 ms and adds it to its slack; what is excused is judged at the end; ports are of a block of the process's own.

--- a/claycross/commands.py
+++ b/claycross/commands.py
@@ -186,8 +186,8 @@
     try:
         found = []
         for part in text.split(","):
-            first, _, last = part.partition("-")
-            found += range(int(first), int(last or first) + 1)
+            first, dash, last = part.partition("-")
+            found += range(int(first), int(last if dash else first) + 1)
     except ValueError:
         complain(f"seeds are numbers such as 7, 1-5 or 1,4,9, not {text!r}")
     if not found or len(found) > MOST_SEEDS:
--- a/claycross/emulator/demo.py
+++ b/claycross/emulator/demo.py
@@ -79,6 +79,7 @@
 
     def start(self) -> None:
         self.before += self.path.read_text() if self.path.exists() else ""
+        self.path.with_suffix(".earlier.log").write_text(self.before)
         state = self.path.with_suffix(".state")  # kept from one process of that name to the next
         state.mkdir(exist_ok=True)
         with self.path.open("w") as log:
--- a/claycross/emulator/relay.py
+++ b/claycross/emulator/relay.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import random
 import re
 import select
@@ -23,7 +24,7 @@
 from .wires import reset
 
 ENDPOINT = re.compile(rb'("endpoint": ?"127\.0\.0\.1:)(\d{5})"')
-LISTEN_PORTS = (12_000, 32_000)
+FIRST_PORT, BLOCK, BLOCKS = 12_000, 200, 100  # of the ports that processes listen on
 LOOK = 20 * MS  # between looks at a way that is cut
 RESENT = 200 * MS  # by which TCP is late where a packet is lost
 
@@ -201,15 +202,18 @@
 @dataclass(slots=True)
 class Spare:
     """Ports found free, held until whoever is to bind them starts. They lie below those that the system gives
-    to outgoing connections, one of which could have them while a process is started again."""
+    to outgoing connections, one of which could have them while a process is started again, and in a block by
+    this process's id, beside those of others that do the same."""
 
     held: list[socket.socket] = field(default_factory=list)
+    after: int = 0  # ports of the block that were tried
 
     def port(self, kind: int) -> int:
         s = socket.socket(socket.AF_INET, kind)
         while True:
+            self.after += 1
             with contextlib.suppress(OSError):
-                s.bind(("127.0.0.1", random.randrange(*LISTEN_PORTS)))
+                s.bind(("127.0.0.1", FIRST_PORT + os.getpid() % BLOCKS * BLOCK + self.after % BLOCK))
                 break
         self.held.append(s)
         return s.getsockname()[1]
--- a/claycross/emulator/serve.py
+++ b/claycross/emulator/serve.py
@@ -364,7 +364,6 @@
         if ask.head.method == "GET" and ask.head.target == "/audit":
             self.world.pump()
             found = {"now": self.world.since(), "monotonic": time.monotonic(),
-                     "lag": max(self.loop.longest_late, self.loop.longest_held_up) / SECOND,
                      "attempts": list(self.world.attempts),
                      "drains": self.world.drains, "fell": self.world.fleet.counts["fell"],
                      "states": list(self.world.fleet.states)}
--- a/claycross/emulator/soak.py
+++ b/claycross/emulator/soak.py
@@ -27,7 +27,6 @@
 from .demo import CLASSES
 from .drill import Drill, DrillFile
 from .faults import Field, SystemFaults
-from ..net.loop import SECOND
 from .judges import Asked, Ran, Record, holds, verdict
 from .relay import Fault, Spare
 from .troubles import Kind, Trouble, draw
@@ -36,6 +35,7 @@
 AFTER_STOP = 0.5  # seconds until a gateway that was stopped has caught up
 ENDS_WITHIN = 8.0  # seconds after SIGTERM
 READY_WITHIN = 10.0
+PACE_EVERY = 0.05  # seconds between looks how late the soak itself is
 QUIET = 1.5  # seconds without load, until what is held is looked at
 FRONT_NOTICES = 0.35  # seconds until clients send nothing more to a gateway that is not there
 SPANS = (1.0, 6.0)  # seconds that a client waits
@@ -101,7 +101,7 @@
         self.excused: list[tuple[int, float, float]] = []  # gateway, from, to
         self.troubles: list[Trouble] = []
         self.bans: dict[int, str] = {}
-        self.zero = 0.0
+        self.zero, self.ended = 0.0, False
         self.deeds: dict[Kind, Callable[[Trouble, int], None]] = {
             Kind.KILL: self.kill, Kind.RESTART: self.restart, Kind.HOLD_UP: self.hold_up,
             Kind.STOP: self.stop, Kind.RELOAD: lambda t, n: self.fleet.reload(n),
@@ -338,10 +338,8 @@
         return True
 
     def keep(self, asked: Asked) -> None:
-        ended = time.monotonic()
+        asked.closed = time.monotonic()
         with self.lock:
-            asked.excused = any(n == asked.gateway and begin <= ended and end >= asked.sent
-                                for n, begin, end in self.excused)
             self.record.asked.append(asked)
 
     # ------------------------------------------------------------ the run
@@ -353,6 +351,7 @@
         self.troubles = draw(file.seed, file.seconds, file.gateways, engines, file.zones)
         self.zero = time.monotonic()
         self.fleet.net.zero = self.fleet.net.loop.now()
+        threading.Thread(target=self.pace, daemon=True).start()
         moments: list[tuple[float, Callable[[], None]]] = [
             (t.at, lambda t=t: self.strike(t)) for t in self.troubles]
         at, number, threads = 0.0, 0, list[threading.Thread]()
@@ -370,16 +369,30 @@
         self.end_all()
         return verdict(self.record)
 
+    def pace(self) -> None:
+        """How late the soak's own processes are: a call through a relay to the emulator, again and again."""
+        way = frozenset(("pace",))
+        port = int(self.fleet.control.rpartition(":")[2])
+        relay = self.fleet.net.do(lambda: self.fleet.net.tcp(way, way, port))
+        while not self.ended:
+            begin = time.monotonic()
+            with suppress(OSError):
+                self.fleet.ask(f"127.0.0.1:{relay}", "GET", "/pace")
+            self.record.lag = max(self.record.lag, time.monotonic() - begin)
+            time.sleep(PACE_EVERY)
+
     def audit(self) -> None:
-        """The engines' side of the record, in the machine's clock."""
+        """The engines' side of the record, in the machine's clock, and what is excused."""
+        for asked in self.record.asked:
+            asked.excused = any(n == asked.gateway and begin <= asked.closed and end >= asked.sent
+                                for n, begin, end in self.excused)
         found = json.loads(self.fleet.ask(self.fleet.control, "GET", "/audit")[1])
         zero = found["monotonic"] - found["now"]
         self.record.ran = [Ran(key, engine, role, zero + begun, told / 1000, end)
                            for key, engine, role, _, begun, _, end, told in found["attempts"]]
         self.record.drains = {engine: zero + at for engine, at in found["drains"].items()}
         self.record.held, self.record.fell = found["states"], found["fell"]
-        loop = self.fleet.net.loop
-        self.record.lag = max(loop.longest_late, loop.longest_held_up) / SECOND + found["lag"]
+        self.ended = True
 
     def end_all(self) -> None:
         """Every gateway is told to end, and its log is read."""
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -142,7 +142,6 @@
         self.stopping = False
         self.rounds = self.worst_late = self.late_rounds = self.errors = 0
         self.polled_at = self.ready_since = self.now()
-        self.longest_late = 0  # since the start
         self.held_up = self.longest_held_up = 0  # rounds that found what may have waited; and how long
 
     def now(self) -> int:
@@ -217,7 +216,6 @@
         if late > LATE:
             self.late_rounds += 1
         self.worst_late = max(self.worst_late, late)
-        self.longest_late = max(self.longest_late, late)
 
     def poll(self, wait: int) -> list[tuple[int, int]]:
         """What is ready within so many milliseconds, and since when it may have been."""
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,137 @@
+"""The soak: each rule finds a fault that is put in on purpose, and none where there is none."""
+
+import os
+import re
+import subprocess
+import sys
+
+import pytest
+
+from claycross.emulator.judges import RULES, Asked, Ran, Record, holds, verdict
+from claycross.emulator.troubles import ENGINES, MOST_OUT, STEPS, Kind, draw, role
+from standins.servers import ROOT
+
+FLEET = [f"prefill-{n}" for n in range(10)] + [f"decode-{n}" for n in range(14)]
+ZONES = ("kigali", "huye", "musanze")
+
+
+def good():
+    """A record in which every rule holds, with something for each to look at."""
+    return Record(
+        asked=[Asked("a", "browse", 0, sent=10.0, span=2.0, how="served", first=10.4, ended=11.0),
+               Asked("b", "licence", 1, sent=10.0, span=2.0, how="failed", first=12.3, ended=12.3),
+               Asked("c", "browse", 0, sent=10.0, span=2.0, how="left", left=10.2),
+               Asked("d", "licence", 2, sent=10.0, span=2.0, how="broken", first=10.5, ended=11.0),
+               Asked("e", "browse", 0, sent=10.0, span=1.0, how="refused", first=12.9, behind=12.5),
+               Asked("f", "browse", 3, sent=10.0, span=1.0, how="unanswered", excused=True)],
+        ran=[Ran("a", "prefill-0", "read", 10.1, 1.9, "read"), Ran("a", "decode-0", "write", 10.2, 1.8, "ok"),
+             Ran("b", "decode-1", "write", 10.2, 1.8, "reset"),
+             Ran("c", "prefill-1", "read", 10.25, 1.7, "gone"),
+             Ran("d", "decode-2", "write", 10.3, 1.7, "first")],
+        drains={"prefill-1": 10.1}, engine_troubles=[(10.8, 11.5)], held=["f"])
+
+
+def test_every_rule_holds_where_there_is_no_fault():
+    found = verdict(good())
+    assert holds(found), found
+    assert set(RULES) < set(found)
+
+
+def change(record, name, **values):
+    for item in (*record.asked, *record.ran):
+        if item.key == name:
+            for field, value in values.items():
+                if hasattr(item, field):
+                    setattr(item, field, value)
+                    break
+
+
+def add(record, field, value):
+    getattr(record, field).append(value)
+
+
+@pytest.mark.parametrize(("rule", "fault"), [
+    ("answered once and in time", lambda r: change(r, "a", how="unanswered")),
+    ("answered once and in time", lambda r: change(r, "a", first=12.6)),
+    ("answered once and in time", lambda r: change(r, "e", first=13.1)),
+    ("streams are passed on whole", lambda r: r.engine_troubles.clear()),
+    ("a licence runs once at most", lambda r: add(r, "ran", Ran("b", "decode-5", "write", 11, 1, "first"))),
+    ("nothing begins after a client has left",
+     lambda r: add(r, "ran", Ran("c", "prefill-3", "read", 10.45, 1, "read"))),
+    ("drained engines get nothing new",
+     lambda r: add(r, "ran", Ran("a", "prefill-1", "read", 10.45, 1, "read"))),
+    ("engines are told what is left",
+     lambda r: add(r, "ran", Ran("a", "decode-4", "write", 10.5, 1.7, "ok"))),
+    ("nothing stays held", lambda r: add(r, "held", "a")),
+    ("no engine falls in slow start", lambda r: setattr(r, "fell", 1)),
+    ("processes live", lambda r: add(r, "gone", "g1 ended with -11")),
+    ("no gateway counts a breach", lambda r: add(r, "logged", "g1: invariant name=one-end")),
+    ("requests were asked and run", lambda r: r.ran.clear()),
+])
+def test_each_rule_finds_its_fault_and_no_other_does(rule, fault):
+    record = good()
+    fault(record)
+    found = verdict(record)
+    assert [name for name, these in found.items() if these] == [rule], found
+
+
+def test_a_drain_that_could_not_be_told_binds_six_seconds_after_the_trouble():
+    record = good()
+    record.unreached = [(10.0, 12.0)]
+    record.ran.append(Ran("a", "prefill-1", "read", 17.9, -9, "read"))
+    assert not verdict(record)["drained engines get nothing new"]
+    record.ran.append(Ran("a", "prefill-1", "read", 18.7, -9, "read"))
+    assert len(verdict(record)["drained engines get nothing new"]) == 1
+
+
+def test_the_troubles_of_a_seed_are_the_same_and_of_another_differ():
+    runs = [draw(seed, 30, 24, FLEET, ZONES) for seed in (1, 1, 2)]
+    assert runs[0] == runs[1] != runs[2]
+
+
+def test_troubles_overlap_reach_every_kind_and_leave_engines_to_serve():
+    seen = set()
+    for seed in range(60):
+        troubles = draw(seed, 30, 24, FLEET, ZONES)
+        seen |= {t.kind for t in troubles}
+        assert {t.value for t in troubles} <= {0, *STEPS}
+        for kind in ("prefill", "decode"):
+            assert sum(t.kind in ENGINES and role(t.engine) == kind for t in troubles) <= MOST_OUT
+        begins = [t.at for t in troubles]
+        assert any(b - a <= 0.8 for a, b in zip(begins, begins[1:], strict=False))
+    assert seen == set(Kind)
+
+
+def soak(*words, **environment):
+    command = [sys.executable, "-m", "claycross", "soak", "--seconds", "7", "--gateways", "6", "--rate", "15"]
+    return subprocess.run([*command, *words], cwd=ROOT, capture_output=True, text=True, timeout=120,
+                          env={**os.environ, **environment})
+
+
+def test_a_short_seed_breaks_no_rule():
+    done = soak("--seeds", "1")
+    assert done.returncode == 0, done.stdout[-4000:] + done.stderr[-2000:]
+    assert done.stdout.count("holds ") == len(RULES) + 1
+
+
+# Loaded into every process of the soak: the gateways take a draining engine for a ready one.
+MUTATION = """
+import sys
+if "serve" in sys.argv:
+    from claycross.membership import discovery
+    discovery.STATES["Terminating"] = "ready"
+"""
+
+
+def test_gateways_that_send_to_a_draining_engine_are_found(tmp_path):
+    """A fault put into the real program is told by the engines' record."""
+    (tmp_path / "sitecustomize.py").write_text(MUTATION)
+    done = soak("--seeds", "25", "--rate", "40", PYTHONPATH=f"{tmp_path}{os.pathsep}{ROOT}")
+    assert done.returncode == 1, done.stdout[-4000:]
+    assert re.search(r"BROKEN +drained engines get nothing new", done.stdout), done.stdout[-4000:]
+
+
+@pytest.mark.parametrize("seeds", ["x", "1-", "5-1", ""])
+def test_seeds_that_are_none_are_a_clear_error(seeds):
+    done = soak("--seeds", seeds)
+    assert done.returncode == 2 and "seeds" in done.stderr and "Traceback" not in done.stderr
