An attempt begins for a client whose end came in the same round: failing test

Seen: a process is held up (SIGSTOP) while an attempt connects; meanwhile the connection comes up and the client closes. As it runs on, both are found in one round, and the request is sent, if the client's socket was registered anew after the engine's: one more byte from the client does that. The order of registration was what held the rule so far.

Line at fault: permits.send is asked with what the core has been told, not with what the socket knows.

--- a/tests/test_held_up.py
+++ b/tests/test_held_up.py
@@ -1,13 +1,17 @@
 """A process that was held up, by SIGSTOP here, counts the time that requests spent waiting for it."""
 
+import contextlib
+import os
+import pathlib
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from claycross.decide.held_up import HELD_UP, ready_since
 from claycross.emulator.faults import Field, SystemFaults
-from standins.servers import Engine, eventually, passes
-from tests.test_crossings import stopped
+from standins.servers import Engine, chat, eventually, passes
+from tests.test_crossings import dialling, full_queue, stopped
 from tests.test_pipelining import request
 
 
@@ -67,3 +71,60 @@
 
 def test_a_process_that_runs_as_it_should_counts_nothing():
     assert ready_since(0, 1_000_000, 100_000_000, 90_000_000) == 90_000_000
+
+
+@pytest.mark.parametrize("more", [b"", b"P"])
+def test_nothing_goes_out_for_a_client_whose_end_came_in_the_same_round_as_the_connection(site, more):
+    """Both are found as the process runs again; which is handed out first is up to the order in which their
+    sockets were registered, which more bytes from the client change."""
+    reader = Engine("p", backlog=0, plan=lambda engine, message, wire: passes(0.7) or wire.reply(202))
+    s = site(reader, Engine("d"))
+    assert s.chat().status == 200
+    full, fillers = full_queue(reader)
+    c = s.client()
+    chat(c, key="gone01")
+    eventually(lambda: dialling(s, reader))
+    c.sock.sendall(more)
+    passes(0.1)
+    with stopped(s.process):
+        for filler in fillers:
+            filler.close()
+        connections = until_connected(full, s.process.pid)
+        c.__exit__()
+    with s.client() as other:
+        assert other.send("GET", "/-/ready").answer().status in (200, 503)
+    passes(0.3)
+    sent = b"".join(received(connection) for connection in connections)
+    full.close()
+    assert b"POST" not in sent
+
+
+def until_connected(listener, pid):
+    """Accepts until the process's own connection is among what was accepted."""
+    listener.settimeout(4)
+    found = []
+    while True:
+        connection, peer = listener.accept()
+        found.append(connection)
+        if owns(pid, peer[1]):
+            return found
+
+
+def owns(pid, port):
+    """Whether a TCP socket of the process has this local port."""
+    held = {os.readlink(entry) for entry in pathlib.Path(f"/proc/{pid}/fd").iterdir()}
+    for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        fields = line.split()
+        if int(fields[1].rpartition(":")[2], 16) == port and f"socket:[{fields[9]}]" in held:
+            return True
+    return False
+
+
+def received(connection):
+    connection.settimeout(0.5)
+    data = b""
+    with contextlib.suppress(OSError):
+        while piece := connection.recv(65_536):
+            data += piece
+    connection.close()
+    return data
