The client's socket is asked at an attempt's first byte whether the client is still there

Change: permits.send takes what the client's socket says at that moment (POLLRDHUP, whatever waits to be read). An attempt that is kept back ends as local_error, which leaves no mark on the engine: before, a drain told while an attempt connected counted as the engine's failure.

--- a/claycross/core.py
+++ b/claycross/core.py
@@ -45,6 +45,7 @@
     def end(self, whole: bool) -> None: ...
     def refuse(self, hold_off: int) -> None: ...
     def fail(self) -> None: ...
+    def client_left(self) -> bool: ...
 
 
 class Calls(Protocol):
@@ -275,9 +276,11 @@
     def may_go(self, t: Attempt) -> bool:
         """Asked at the moment of the first byte: while it was connecting a drain may have been told, its
         client may have left, or the window in which it may run again may have ended."""
-        denial = permits.send(t.over, t.request.over, self.listed.get(t.engine), t.until, self.clock.now())
+        r = t.request
+        denial = permits.send(t.over, r.over, r.reply.client_left(), self.listed.get(t.engine), t.until,
+                              self.clock.now())
         if denial:
-            self.deny("send", t.request, denial)
+            self.deny("send", r, denial)
         return denial is None
 
     def earlier(self, r: Request) -> list[permits.Earlier]:
@@ -407,7 +410,7 @@
             self.deny("attempt", r, denial)
             return self.settle(t, "moot")
         if not self.may_go(t):
-            return self.settle(t, "connect_failed")
+            return self.settle(t, "local_error")
         if t.reads:
             r.holders[t.engine] = False
         t.timer = self.clock.later(timeout, lambda: self.expire(t))
--- a/claycross/decide/permits.py
+++ b/claycross/decide/permits.py
@@ -28,6 +28,7 @@
 
     ATTEMPT_OVER = "attempt-over"  # timed out, called off, or its request has ended
     REQUEST_OVER = "request-over"  # answered, or its client has left
+    CLIENT_LEFT = "client-left"  # its end waits to be read
     STREAMING = "streaming"  # an attempt belongs to the client already
     OUT_OF_TIME = "out-of-time"
     ATTEMPTS_SPENT = "attempts-spent"
@@ -81,13 +82,16 @@
     return None if spec.effect == "keyed" and spec.group == "all" else Denial.MAY_HAVE_RUN
 
 
-def send(attempt_over: bool, request_over: bool, engine: EngineEntry | None, until: int,
+def send(attempt_over: bool, request_over: bool, client_left: bool, engine: EngineEntry | None, until: int,
          now: int) -> Denial | None:
-    """Whether the first byte of an attempt may go out. `until`: the end of its window; 0: none."""
+    """Whether the first byte of an attempt may go out. `client_left`: by what its socket says now; `until`:
+    the end of the attempt's window; 0: none."""
     if attempt_over:
         return Denial.ATTEMPT_OVER
     if request_over:
         return Denial.REQUEST_OVER
+    if client_left:
+        return Denial.CLIENT_LEFT
     if engine is None:
         return Denial.ENGINE_UNLISTED
     if engine.condition != "ready":
--- a/claycross/fronts/base.py
+++ b/claycross/fronts/base.py
@@ -117,6 +117,10 @@
         self.out = answer(status, headers, body, self.closing())
         self.finish()
 
+    def client_left(self) -> bool:
+        """Whether the client's end has come, be it read or not."""
+        return self.conn.hung_up()
+
     def closing(self) -> bool:
         self.close_after = self.close_after or self.front.ends_connections(self.inbox)
         return self.close_after
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -615,6 +615,14 @@
         except OSError:
             return False
 
+    def hung_up(self) -> bool:
+        """Whether the other side has ended its sending or the connection broke, whatever waits to be read."""
+        if self.closed:
+            return True
+        poller = select.poll()
+        poller.register(self.sock.fileno(), select.POLLRDHUP)
+        return any(mask & HANG_UP for _, mask in poller.poll(0))
+
     def end_sending(self) -> None:
         """The other side learns that nothing more comes; it may go on sending."""
         try:
--- a/claycross/upstream/calls.py
+++ b/claycross/upstream/calls.py
@@ -15,7 +15,7 @@
 from .answers import Answer, load_report
 from .client import Client
 from .http1 import Http1, Pool
-from .interface import NEVER_WENT, NotSpoken, Result, Small
+from .interface import NOT_SENT, NotSpoken, Result, Small
 
 
 OFFERED = "h2c"  # as an entry of the list says that an engine speaks the second wire
@@ -89,7 +89,7 @@
     def attempt(self, t: Attempt) -> Result:
         endpoint = self.endpoints.get(t.engine) if self.core.may_go(t) else None
         if endpoint is None:
-            return NEVER_WENT
+            return NOT_SENT
         try:
             return self.client(endpoint).attempt(t, endpoint, Answer(self.core, t))
         except NotSpoken:
--- a/claycross/upstream/http1.py
+++ b/claycross/upstream/http1.py
@@ -15,7 +15,7 @@
 from ..net.http1 import MAX_BODY, Body, End, Head, Malformed, Messages, request
 from ..net.loop import MS, SECOND, Closed, Conn, Loop, NoRoom, TimedOut
 from .answers import SMALL, Answer
-from .interface import CUT_OFF, NEVER_WENT, NO_SOCKET, Result, Small
+from .interface import CUT_OFF, NEVER_WENT, NOT_SENT, Result, Small
 
 REST = 10 * MS  # of a connection after use: what its engine sends behind an answer is seen by then
 BOUND_PAUSE = 5 * MS  # between looks whether there is room in a pool at its bound
@@ -128,12 +128,12 @@
         try:
             conn = self.pool.get(address)
         except NoRoom:
-            return NO_SOCKET
+            return NOT_SENT
         except Closed:
             return NEVER_WENT
         if not self.may_go(t):  # a drain was told, or nobody waits any more, while it was connecting
             self.pool.give(address, conn)
-            return NEVER_WENT
+            return NOT_SENT
 
         def cut() -> bool:
             conn.abort()  # what its engine has not got yet must not arrive later
--- a/claycross/upstream/interface.py
+++ b/claycross/upstream/interface.py
@@ -40,7 +40,8 @@
 
 
 NEVER_WENT = Result("connect_failed")  # nothing of it ran there
-NO_SOCKET = Result("local_error")  # nor did anything leave this machine; the engine has no part in it
+# Nor did anything leave this machine, which had no socket for it or kept it back: no fault of the engine.
+NOT_SENT = Result("local_error")
 CUT_OFF = Result("reset")  # it may have run
 
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -47,11 +47,12 @@
     assert permits.may_have_run(False, result) is (result not in proof)
 
 
-@given(st.booleans(), st.booleans(), st.sampled_from([None, "ready", "draining"]), st.integers(0, 3))
-def test_a_first_byte_goes_out_only_where_nothing_forbids_it(attempt_over, request_over, condition, until):
+@given(st.lists(st.booleans(), min_size=3, max_size=3), st.sampled_from([None, "ready", "draining"]),
+       st.integers(0, 3))
+def test_a_first_byte_goes_out_only_where_nothing_forbids_it(over_or_left, condition, until):
     listed = entry("r1", condition) if condition else None
-    denial = permits.send(attempt_over, request_over, listed, until, 2)
-    allowed = not attempt_over and not request_over and condition == "ready" and (not until or until > 2)
+    denial = permits.send(*over_or_left, listed, until, 2)
+    allowed = not any(over_or_left) and condition == "ready" and (not until or until > 2)
     assert (denial is None) is allowed
 
 
@@ -99,6 +100,9 @@
 
 
 class Unanswered:
+    def client_left(self):
+        return False
+
     def refuse(self, hold_off):
         self.said = "refused"
 
