Figures and log say why something was not sent, refused or closed, and how long it was held up

denied-WHAT-WHY, refused-WHY, closed-WHY among the core's counts and at the door; breaches, unexpected errors, rounds after the process was held up, state writes and accepts that failed, starts doubted; accepts-failed names the system's errors.

--- a/claycross/fronts/base.py
+++ b/claycross/fronts/base.py
@@ -290,6 +290,7 @@
                     return head, b"".join(body), came or self.loop.now()
             idle = head is None and messages.idle()
             if idle and self.shedding and not first and conn.quiet():
+                self.core.count("closed-draining")
                 return None, b"", 0
             since = start if first else max(start, came)  # what waited for its turn has its time from then on
             try:
@@ -299,9 +300,12 @@
                 continue
             except TimedOut:
                 if idle:
+                    self.core.count("closed-idle")
                     return None, b"", 0
+                self.core.count("closed-half-request")
                 raise Malformed(408, "the request did not arrive in time") from None
             if not data:
+                self.core.count("closed-by-client")
                 messages.eof()
                 return None, b"", 0
             if not came:
@@ -328,7 +332,6 @@
         except Closed:
             conn.close()
             self.core.left(opened)
-            self.core.count("client-left")
         denial = permits.close(exchange.over, conn.closed)
         invariant(denial is None, "answered-before-close", f"request {opened.key}: {denial}")
 
--- a/claycross/gateway.py
+++ b/claycross/gateway.py
@@ -52,6 +52,7 @@
 HAND_BACK, HANDED_BACK = 2400 * MS, 3300 * MS  # after SIGTERM: streams still running go, bit by bit
 SHED_AFTER = 400 * MS  # after drain-on: the clients' front sends new connections for 0.3 s more
 RESERVED = 48  # descriptors that neither clients nor engines' connections may take
+COUNTED_AT_DOOR = ("denied-", "refused-", "closed-")  # counts of why something was not done, or ended
 STATS, CHECK = 10 * SECOND, (100 * MS if __debug__ else 10 * SECOND)
 
 
@@ -168,6 +169,15 @@
             for key, count in core.replies.items():
                 replies[key] = replies.get(key, 0) + count
         more = {f"door_{k}": v for k, v in self.door.counts.items()} if self.door else {}
+        more |= {"breaches": sum(broken.values()), "unexpected_errors": self.loop.errors,
+                 "held_up": self.loop.held_up, "state_writes_failed": self.state.failed_writes,
+                 "accepts_failed": sum(sum(f.listener.failed.values()) for f in self.fronts),
+                 "starts_doubted": self.starts.implausible}
+        for core in self.cores:
+            for name, count in core.counts.items():
+                if name.startswith(COUNTED_AT_DOOR):
+                    key = name.replace("-", "_")
+                    more[key] = more.get(key, 0) + count
         return Reading(replies, sum(c.dispatches for c in self.cores), sum(c.taken() for c in self.cores),
                        len(listed), len(banned & listed.keys()), len(avoided - banned),
                        sum(e.condition == "draining" and e.engine not in banned for e in listed.values()),
@@ -324,12 +334,17 @@
     def stats(self) -> None:
         loop = self.loop
         self.log(f"stats late_max_ms={loop.worst_late / MS:.1f} late_rounds={loop.late_rounds} "
-                 f"errors={loop.errors} broken={sum(broken.values())} unwritten={unwritten.total()}")
+                 f"errors={loop.errors} broken={sum(broken.values())} unwritten={unwritten.total()} "
+                 f"held_up={loop.held_up} held_up_max_ms={loop.longest_held_up / MS:.1f}")
         for core, side, front in zip(self.cores, self.sides, self.fronts, strict=False):
             counts = " ".join(f"{k}={v}" for k, v in (*side.figures().items(), *sorted(core.counts.items())))
             self.log(f"stats-{core.name} open={len(core.open)} clients={len(front.clients)} {counts}")
             if out := core.excluded():
                 self.log(f"excluded-{core.name} engines={','.join(out)}")
+        for front in self.fronts:
+            if front.listener.failed:
+                failed = " ".join(f"{name}={count}" for name, count in sorted(front.listener.failed.items()))
+                self.log(f"accepts-failed listen={front.listener.address()[1]} {failed}")
         if self.peers:
             self.log("stats-peers " + " ".join(f"{k}={v}" for k, v in self.peers.figures().items()))
         if self.rounds:
--- a/claycross/net/loop.py
+++ b/claycross/net/loop.py
@@ -357,13 +357,14 @@
         self.sock = bound(address) if passed is None else inherited(passed)
         self.sock.setblocking(False)
         self.sock.listen(backlog)
+        self.bound_to = self.sock.getsockname()[:2]
         self.open, self.closed, self.paused = True, False, False
         self.blocked_since = 0  # something may wait since then that could not be accepted
         self.close_by = 0
         loop.watch(self.sock.fileno(), select.POLLIN, self.ready)
 
     def address(self) -> tuple[str, int]:
-        return self.sock.getsockname()[:2]
+        return self.bound_to
 
     def ready(self, _: int) -> None:
         self.accept()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -797,7 +797,8 @@
     started = []
     core.calls = type("Calls", (), {"start": lambda self, t: started.append(t)})()
     core.list(i.EngineList("full", [entry("r1"), entry("w1")]))
-    reply = type("Reply", (), {"piece": lambda *_: None, "end": lambda *_: None, "fail": lambda *_: None})()
+    reply = type("Reply", (), {"piece": lambda *_: None, "end": lambda *_: None, "fail": lambda *_: None,
+                               "client_left": lambda *_: False})()
     body = Body()
     alive = weakref.ref(body)
     gc.disable()
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -9,6 +9,7 @@
 
 from claycross.net.lines import Call, Lines, TooLong
 from standins.servers import NEVER, Client, Engine, eventually
+from tests.test_crossings import stopped
 from tests.test_gateway import answers
 
 
@@ -198,3 +199,22 @@
     assert found['gateway_targets_avoided{why="gateway"}'] == 0
     s.call(f"set-up {one.uid}")
     assert figures(s)["gateway_targets_disabled"] == 0
+
+
+def test_the_figures_and_the_log_say_why_something_was_not_done(site):
+    """A breach, a held-up process, a refusal and a close are counted by their reason."""
+    silent = Engine("p", plan=lambda engine, message, wire: wire.gone())
+    s = site(silent, Engine("d"), door=True, release=True)
+    assert s.chat(cls="browse", timeout=400).status == 503
+    with Client(s.address) as c:
+        c.sock.sendall(b"POST /v1/chat")
+        c.to_end()
+    with stopped(s.process):
+        time.sleep(0.3)
+    eventually(lambda: "gateway_held_up 0.0" not in s.call("vars") and "gateway_held_up " in s.call("vars"))
+    vars_ = s.call("vars")
+    for name in ("gateway_breaches", "gateway_unexpected_errors", "gateway_state_writes_failed",
+                 "gateway_accepts_failed", "gateway_starts_doubted"):
+        assert f"\n{name} 0.0\n" in vars_, vars_
+    for name in ("gateway_refused_", "gateway_closed_half_request"):
+        assert f"\n{name}" in vars_, vars_
