--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	touch $@
 
 test: lint
-	$(DEV)/python -m pytest -q -n 4 --dist loadfile
+	$(DEV)/python -m pytest -q -n 6 --dist loadfile
 
 lint: .venv-dev/installed
 	$(DEV)/ruff check .
--- a/claycross/state_keeper.py
+++ b/claycross/state_keeper.py
@@ -102,7 +102,10 @@
     # ------------------------------------------------------------ writing
 
     def keep(self, change: Change) -> None:
-        """Takes over a change that counts here already; it is written from now on until it is kept."""
+        """Takes over a change that counts here already; it is written from now on until it is kept. It takes
+        the place of one to the same engine, or to the drain, that is not kept yet, so that there are no more
+        of them than engines."""
+        self.pending = [c for c in self.pending if c.engine != change.engine]
         self.pending.append(change)
         self.save()
 
@@ -140,7 +143,8 @@
                 if write.state is not None:
                     if self.failures:
                         self.log(f"handover-written sequence={write.state.sequence} after={self.failures}")
-                    del self.pending[:len(changes)]
+                    written = set(map(id, changes))
+                    self.pending = [c for c in self.pending if id(c) not in written]
                     self.adopt(write.state)
                     self.failures, self.why, self.handover.failed = 0, "", False
                 else:
--- a/tests/test_kept_state.py
+++ b/tests/test_kept_state.py
@@ -6,7 +6,12 @@
 
 import pytest
 
+from claycross.decide.bans import Bans
+from claycross.decide.handover import Change, ChangeKind, Kept, after
 from claycross.emulator.faults import Field, SystemFaults
+from claycross.handover import Handover
+from claycross.net.loop import Loop
+from claycross.state_keeper import StateKeeper
 from standins.servers import Engine, eventually, passes
 
 
@@ -92,3 +97,16 @@
     faults.set(Field.WALL_OFFSET_NS, step * 10**9)
     restart(s, faults)
     assert gets_nothing(s, readers[1])
+
+
+def test_changes_that_are_not_kept_yet_are_bounded_and_the_last_of_each_counts():
+    """Called again and again while the folder fails, an operator leaves one change for each engine."""
+    keeper = StateKeeper(Loop(), Handover("/nowhere", "n0", print), Bans(), print)
+    keeper.saving = True  # a write is under way, and does not come to an end
+    for n in range(300):
+        kind = (ChangeKind.SET_DOWN, ChangeKind.SET_UP)[n % 2]
+        keeper.keep(Change(kind, f"p-{n % 3}", n))
+        keeper.keep(Change((ChangeKind.DRAIN_ON, ChangeKind.DRAIN_OFF)[n % 2]))
+    assert len(keeper.pending) == 4
+    state = after(Kept(), keeper.pending)
+    assert state.bans == {"p-1": 298} and not state.drained
