--- a/standins/servers.py
+++ b/standins/servers.py
@@ -225,7 +225,8 @@
         self.beats = True  # a blank line every 2 s while nothing changes
 
     def talk(self, wire):
-        message = read_message(wire.file)
+        if (message := read_message(wire.file)) is None:
+            return  # connected to, and not asked
         self.froms.append(int(re.search(r"from=(\d+)", message.start)[1]))
         wire.begin()
         self.speaks.wait(30)
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -18,21 +18,21 @@
 
 
 class HeldWriter(Engine):
-    """Answers the request named "first" once it is told to, all others at once."""
+    """Answers the request of that name, or all where none is given, once it is told to; others at once."""
 
-    def __init__(self):
+    def __init__(self, only=""):
         super().__init__("d", plan=HeldWriter.answer)
-        self.go_on = threading.Event()
+        self.go_on, self.only = threading.Event(), only
 
     def answer(self, message, wire):
-        if message["x-request-id"] == "first":
+        if self.only in ("", message["x-request-id"]):
             self.go_on.wait(8)
         wire.stream()
 
 
 @pytest.fixture
 def writer():
-    engine = HeldWriter()
+    engine = HeldWriter("first")
     yield engine
     engine.go_on.set()
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -21,6 +21,13 @@
                             env=with_faults(faults) | {"TMPDIR": str(s.folder)})
 
 
+def serves(process):
+    """It says so before its output ends; then it is ended."""
+    assert any("serving listen" in line for line in process.stdout)
+    process.kill()
+    process.wait()
+
+
 @pytest.fixture
 def taken():
     """A socket that listens where the second process is to."""
@@ -34,12 +41,7 @@
     s = site(Engine("p"), Engine("d"))
     process = start_beside(s, "127.0.0.1:{}".format(*taken.getsockname()[1:]))
     threading.Timer(1.0, taken.close).start()
-    line = process.stdout.readline()
-    while line and "serving listen" not in line:
-        line = process.stdout.readline()
-    assert line
-    process.kill()
-    process.wait()
+    serves(process)
 
 
 def test_an_address_that_stays_held_is_a_clear_error(site, taken):
@@ -56,9 +58,4 @@
     process = start_beside(s, "127.0.0.1:0", faults)
     eventually(lambda: faults.get(Field.FAILED) >= 5)
     faults.clear()
-    line = process.stdout.readline()
-    while line and "serving listen" not in line:
-        line = process.stdout.readline()
-    assert line
-    process.kill()
-    process.wait()
+    serves(process)
--- a/tests/test_stop_with_waiting.py
+++ b/tests/test_stop_with_waiting.py
@@ -7,19 +7,7 @@
 
 from claycross.emulator.faults import Field, SystemFaults
 from standins.servers import Engine, eventually, passes
-from tests.test_pipelining import request
-
-
-class HeldWriter(Engine):
-    """Answers nothing before it is told to."""
-
-    def __init__(self):
-        super().__init__("d", plan=HeldWriter.answer)
-        self.go_on = threading.Event()
-
-    def answer(self, message, wire):
-        self.go_on.wait(8)
-        wire.stream()
+from tests.test_pipelining import HeldWriter, request
 
 
 @pytest.fixture
