--- a/tests/test_wall_clocks.py
+++ b/tests/test_wall_clocks.py
@@ -93,3 +93,20 @@
     restart(s, reader, -3600, seen=False)
     cold = reads_in(reader, 1.0)
     assert cold < 0.45 * warm, (warm, cold)
+
+
+@pytest.mark.parametrize("step", [-3600, 3600])
+@pytest.mark.parametrize("crossing", ["drain", "silent list"])
+def test_a_step_beside_a_drain_or_a_silent_list_delays_nothing(loaded, step, crossing):
+    """The drain's grace and the watch's silence are spans of real time."""
+    s, faults, reader = loaded
+    faults.set(Field.WALL_OFFSET_NS, step * 10**9)
+    if crossing == "silent list":
+        s.discovery.beats = False
+        watches = len(s.discovery.froms)
+        begun = time.monotonic()
+        eventually(lambda: len(s.discovery.froms) > watches, 6)
+        assert 0.5 < time.monotonic() - begun < 5
+    s.discovery.tell(reader.target("Terminating"))
+    passes(0.3)
+    assert reads_in(reader, 1.0) == 0
