The check that no connection ends over an unanswered request stands where it can fail

It stood behind the wait for the answer, where it held by the loop's own condition. Front.end, the one way out of a connection, asks it now; a test shows the breach.

--- a/claycross/fronts/base.py
+++ b/claycross/fronts/base.py
@@ -142,6 +142,7 @@
         self.draining = False  # every answer says that its connection closes
         self.shedding = False  # and a connection between two requests is closed
         self.clients: dict[Conn, tuple[int, int]] = {}  # what each is at, and since when; oldest first
+        self.exchanges: dict[Conn, Exchange] = {}  # the last of each connection, for the check at its end
         self.listener = Listener(loop, listen, self.accepted, self.room, passed=passed)
 
     def room(self) -> bool:
@@ -236,6 +237,9 @@
         """The one way into a connection's terminal state: nothing more is sent, what still comes is read on
         for a moment, and only so much, and then it is closed. Closing over unread bytes would reset what was
         answered away; a request that comes now is not taken, and the end of the connection says so."""
+        if exchange := self.exchanges.pop(conn, None):
+            denial = permits.close(exchange.over, conn.closed)
+            invariant(denial is None, "answered-before-close", str(denial))
         try:
             if not conn.closed:
                 self.mark(conn, ENDING)
@@ -269,6 +273,7 @@
             return not (close or self.ends_connections(inbox))
         opened, exchange = taken
         exchange.inbox = inbox
+        self.exchanges[conn] = exchange
         self.wait(conn, inbox, opened, exchange)
         return not exchange.close_after and not conn.closed  # told so or not: what was not told is answered
 
@@ -332,8 +337,6 @@
         except Closed:
             conn.close()
             self.core.left(opened)
-        denial = permits.close(exchange.over, conn.closed)
-        invariant(denial is None, "answered-before-close", f"request {opened.key}: {denial}")
 
     def take(self, conn: Conn, head: Head, body: bytes, came: int,
              close: bool) -> tuple[Request, Exchange] | None:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -8,7 +8,9 @@
 from claycross.core import Core
 from claycross.decide import permits
 from claycross.decide.permits import Denial, Earlier
+from claycross.fronts.base import Front
 from claycross.invariant import Broken
+from claycross.net.loop import Loop
 from tests.desk import MS, SECOND, entry, settings
 
 KEYED = {group: i.ClassSpec("k", 1, 2, effect="keyed", group=group, key_ttl=3 * SECOND)
@@ -140,3 +142,19 @@
     r, _ = written_once(core)
     with pytest.raises(Broken, match="may-refuse"):
         core.refuse(i.Refuse(r.number))
+
+
+@pytest.mark.parametrize(("over", "closed", "breach"), [(False, False, True), (True, False, False),
+                                                        (False, True, False)])
+def test_a_front_counts_a_connection_that_ends_over_an_unanswered_request(over, closed, breach):
+    loop = Loop()
+    front = Front(loop, None, ("127.0.0.1", 0), 16)
+    conn = type("Ended", (), {"closed": closed, "end_sending": lambda self: None, "close": lambda self: None,
+                              "recv": lambda self, span: b""})()
+    front.exchanges[conn] = type("Answer", (), {"over": over})()
+    if breach:
+        with pytest.raises(Broken, match="answered-before-close: unanswered"):
+            front.end(conn)
+    else:
+        front.end(conn)
+        assert conn not in front.exchanges and conn not in front.clients
