--- a/claycross/emulator/soak.py
+++ b/claycross/emulator/soak.py
@@ -324,7 +324,7 @@
         return True
 
     def stays_half(self, rng: random.Random, number: int, n: int) -> bool:
-        """Half a request, and no more: its error or close has to come within three seconds."""
+        """Half a request, and no more. A load beside the others; how it ends is not judged."""
         _, text = self.draw_request(rng, f"{number:08x}e{self.file.seed:x}", n)
         with Connection(self.fleet.fronts[n], 6) as connection, suppress(OSError):
             connection.send(text[:len(text) // 2])
@@ -332,6 +332,7 @@
         return True
 
     def junk(self, rng: random.Random, number: int, n: int) -> bool:
+        """Bytes that are no request. A load, too: how it ends is not judged."""
         with Connection(self.fleet.fronts[n], 6) as connection, suppress(OSError):
             connection.send(rng.randbytes(200) + b"\r\n\r\n")
             connection.sock.recv(100)
