--- a/standins/servers.py
+++ b/standins/servers.py
@@ -154,6 +154,10 @@
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
+        self.close_connections()
+
+    def close_connections(self):
+        """Ends those that are open; further ones are accepted as before."""
         for wire in self.wires:
             with contextlib.suppress(OSError):
                 wire.sock.shutdown(socket.SHUT_RDWR)
