What is held is let go in its time while an attempt is out that may not have arrived

Seen: reads end, writes go to servers that stand still, the state stays for the client's whole time. At fault: Core.in_use, used_again and at_work took any attempt past its dial for one that uses the state, and Router.dispatch looks at what is held only while nothing is out.

To let go spares what an attempt waits for, so a writer that runs loses nothing; a newer state stops an older one's calls. A write whose state is surely gone is kept back (state-released).

Class: an action taken for done because it was begun here.

--- a/claycross/core.py
+++ b/claycross/core.py
@@ -15,6 +15,7 @@
 from . import interface as i
 from .decide import permits
 from .decide.confirmed import Confirmation
+from .decide.holds import HoldClock
 from .decide.release import Known, ReleaseCall
 from .invariant import invariant
 from .policy import Router
@@ -63,7 +64,7 @@
 class Request:
     """One request that is not over, or whose attempts are not. Core.close() alone ends it."""
 
-    def __init__(self, number: int, key: str, payload: Any, reply: Reply, deadline: int):
+    def __init__(self, number: int, key: str, payload: Any, reply: Reply, deadline: int, hold: HoldClock):
         self.number, self.key, self.payload, self.reply, self.deadline = number, key, payload, reply, deadline
         self.name, self.prompt = "", 0  # class; tokens
         self.came = self.began = 0  # when it came; until its first token
@@ -74,6 +75,8 @@
         self.write_given_up = False  # it may wait for what is held until its engine has seen its end
         self.out = 0  # attempts whose outcome the module has not been told
         self.guard: Any = None  # the timer of its deadline
+        self.hold = hold  # the rule's clock of what is held for it
+        self.hold_timer: Any = None
 
 
 class Attempt:
@@ -185,7 +188,8 @@
             arrival.left = max(0, min(arrival.left, self.ends - self.clock.now()))
         self.last += 1
         arrival.request = self.last
-        r = Request(self.last, key, payload, reply, self.clock.now() + arrival.left)
+        r = Request(self.last, key, payload, reply, self.clock.now() + arrival.left,
+                    HoldClock(self.settings.release_within))
         r.name, r.prompt, r.came = arrival.class_name, arrival.prompt, self.clock.now()
         self.open[r.number] = r
         self.keys[key] = r.number
@@ -227,7 +231,10 @@
             self.replies[name, "error"] = self.replies.get((name, "error"), 0) + 1
 
     def dispatched(self, t: Attempt) -> None:
+        """An attempt's last byte is written; a write is given the time to arrive before its state goes."""
         self.dispatches += 1
+        if not t.reads and t.request.hold_timer:
+            self.watch_hold(t.request, t.request.hold.due_written(self.clock.now()))
 
     def taken(self) -> int:
         """Requests taken and not yet answered."""
@@ -278,7 +285,7 @@
         client may have left, or the window in which it may run again may have ended."""
         r = t.request
         denial = permits.send(t.over, r.over, r.reply.client_left(), self.listed.get(t.engine), t.until,
-                              self.clock.now())
+                              self.clock.now(), t.reads or r.hold.writable())
         if denial:
             self.deny("send", r, denial)
         return denial is None
@@ -301,7 +308,7 @@
             return False
         r.stream, t.began, r.began = t, True, self.clock.now() - r.came
         self.heard(t.engine)
-        r.holders.clear()  # with the first token all else that is held goes by itself
+        self.clear_holders(r)  # with the first token all else that is held goes by itself
         if t.timer:
             t.timer.cancel()
         self.push(i.StreamBegan(r.number, t.n, t.engine, self.clock.now() - t.sent))
@@ -362,6 +369,11 @@
             r.holders[t.engine] = True
         elif not t.reads and result in GIVEN_UP and not t.began:
             r.write_given_up = True
+        if result not in permits.NOT_SENT:
+            r.hold.restart(self.clock.now())
+        if result == "read":
+            r.hold.read()
+        self.watch_hold(r)
         self.count(result)
         if result not in permits.UNHEARD:
             self.heard(t.engine)
@@ -382,6 +394,7 @@
             # Guards memory: requests and attempts name each other, and the timer names both, so that bodies
             # of requests long over would wait for the collector of cycles, or for deadlines.
             r.guard.cancel()
+            self.stop_hold_timer(r)
             r.payload = None
             r.attempts.clear()
             if not invariant(not r.holders, "let-go", f"request {r.key} ended holding at {list(r.holders)}"):
@@ -480,25 +493,69 @@
             self.advance_release(self.new_release(engine, r.key, doubt))
             if doubt or r.write_given_up:
                 self.wait_for_release(self.new_release(engine, r.key, doubt, DOUBT_AGAIN))
+        self.clear_holders(r)
+
+    def clear_holders(self, r: Request) -> None:
+        """Nothing is held for it any more that is not being let go."""
         r.holders.clear()
+        self.stop_hold_timer(r)
+
+    def stop_hold_timer(self, r: Request) -> None:
+        if r.hold_timer:
+            r.hold_timer.cancel()
+            r.hold_timer = None
+
+    def watch_hold(self, r: Request, due: int = 0) -> None:
+        """Sets the timer of the rule on what is held: by its last outcome, unless a later time is given."""
+        self.stop_hold_timer(r)
+        if r.holders and not r.over and not r.stream:
+            wait = max(0, (due or r.hold.due()) - self.clock.now())
+            r.hold_timer = self.clock.later(wait, lambda: self.hold_due(r))
+
+    def hold_due(self, r: Request) -> None:
+        """What is held has waited for as long as it may. The holders stay named: a write that had arrived
+        has what it waits for spared, and that is let go with what follows it."""
+        r.hold_timer = None
+        if r.over or r.stream or not r.holders:
+            return
+        if any(t.connecting() and not t.reads for t in r.attempts) and (
+                self.clock.now() < r.hold.due_connecting()):
+            return self.watch_hold(r, r.hold.due_connecting())
+        r.hold.let_go(any(not t.over and not t.connecting() and not t.reads for t in r.attempts))
+        self.count("hold-due")
+        if self.trace:
+            self.trace(f"hold-due request={r.key} holders={','.join(r.holders)} status={r.hold.status.name} "
+                       f"since_ms={(self.clock.now() - r.hold.since) / MS:.1f}")
+        for engine, doubt in list(r.holders.items()):
+            self.advance_release(self.new_release(engine, r.key, doubt, urgent=True))
 
-    def in_use(self, key: str, holder: str) -> bool:
+    def in_use(self, key: str, holder: str, urgent: bool = False, states: int = 1 << 62) -> bool:
         """To let go is to let go at every engine. Guards the state of a read that was sent since against
         calls that are made again, for the sake of one given up; with the first token all goes. An attempt
-        that is still connecting has left nothing anywhere, and the rule's time runs on beside it."""
+        that is still connecting has left nothing anywhere, and the rule's time runs on beside it. An urgent
+        call waits for no attempt that is out; a state that was read since stops it, too."""
         r = self.open.get(self.keys.get(key, -1))
-        if r and not r.over and (self.at_work(r) or r.holders.keys() - {
-                t.engine for t in r.attempts if t.connecting()}):
-            r.holders.setdefault(holder, True)  # it is let go of with what follows
+        if not r or r.over:
+            return False
+        newer = r.hold.states > states
+        connecting = {t.engine for t in r.attempts if t.connecting()}
+        if r.stream or newer or (not urgent and (self.at_work(r) or r.holders.keys() - connecting)):
+            if not r.stream and holder not in r.holders:
+                r.holders[holder] = True  # it is let go of with what follows
+                self.watch_hold(r)
             return True
         return False
 
-    def new_release(self, holder: str, key: str, doubt: bool, after: int = 0) -> ReleaseCall:
+    def new_release(self, holder: str, key: str, doubt: bool, after: int = 0,
+                    urgent: bool = False) -> ReleaseCall:
         zone = entry.zone if (entry := self.listed.get(holder)) else ""
         while len(self.releases) >= MOST_RELEASES:
             self.count("release-dropped")
             self.end_release(next(iter(self.releases)))
         w = ReleaseCall(key, holder, zone, self.settings.release_within, self.clock.now() + after, doubt)
+        w.urgent = urgent
+        if r := self.open.get(self.keys.get(key, -1)):
+            w.states = r.hold.states
         self.releases[w] = None
         return w
 
@@ -509,7 +566,7 @@
 
     def resume_release(self, w: ReleaseCall) -> None:
         """Later than the end that it follows: the request may have been read anew since."""
-        if not w.over and self.in_use(w.key, w.holder):
+        if not w.over and self.in_use(w.key, w.holder, w.urgent, w.states):
             return self.end_release(w)
         self.advance_release(w)
 
@@ -550,11 +607,14 @@
                 self.end_release(w)
             elif not heard:
                 self.resume_release(w)
-        self.calls.release(engine, w.key, told, lambda: not w.over and not self.used_again(w.key))
+        self.calls.release(engine, w.key, told, lambda: not w.over and not self.used_again(w))
 
-    def used_again(self, key: str) -> bool:
-        r = self.open.get(self.keys.get(key, -1))
-        return bool(r and not r.over and self.at_work(r))
+    def used_again(self, w: ReleaseCall) -> bool:
+        """Whether a call that could be written now would let go of what the request has gained since."""
+        r = self.open.get(self.keys.get(w.key, -1))
+        if not r or r.over:
+            return False
+        return bool(r.stream) or r.hold.states > w.states or (not w.urgent and self.at_work(r))
 
     def at_work(self, r: Request) -> bool:
         return any(not t.over and not t.connecting() for t in r.attempts)
--- a/claycross/decide/permits.py
+++ b/claycross/decide/permits.py
@@ -36,6 +36,7 @@
     ENGINE_UNLISTED = "engine-unlisted"
     ENGINE_DRAINING = "engine-draining"  # or banned by an operator
     MAY_HAVE_RUN = "may-have-run"  # an earlier attempt of a request that must not run twice
+    STATE_RELEASED = "state-released"  # what the write was to fetch has been let go
     WINDOW_OVER = "window-over"  # within which the engines drop a repeat
     OTHER_GROUP = "other-group"  # engines beyond those that know of each other's requests
     LIST_UNCONFIRMED = "list-unconfirmed"
@@ -83,9 +84,9 @@
 
 
 def send(attempt_over: bool, request_over: bool, client_left: bool, engine: EngineEntry | None, until: int,
-         now: int) -> Denial | None:
+         now: int, state_held: bool = True) -> Denial | None:
     """Whether the first byte of an attempt may go out. `client_left`: by what its socket says now; `until`:
-    the end of the attempt's window; 0: none."""
+    the end of the attempt's window; 0: none; `state_held`: no, where a write finds no state any more."""
     if attempt_over:
         return Denial.ATTEMPT_OVER
     if request_over:
@@ -96,6 +97,8 @@
         return Denial.ENGINE_UNLISTED
     if engine.condition != "ready":
         return Denial.ENGINE_DRAINING
+    if not state_held:
+        return Denial.STATE_RELEASED
     return Denial.WINDOW_OVER if until and now >= until else None
 
 
--- a/claycross/decide/release.py
+++ b/claycross/decide/release.py
@@ -44,6 +44,8 @@
         self.next_try: int | None = now
         self.next_relay: int | None = now if doubt else now + self.hedge
         self.passed = self.over = self.lost = False
+        self.urgent = False  # the rule's time is over: it is made whatever is out for the request
+        self.states = 0  # how many states the request had been read when it was made
 
     def due(self, now: int, others: Iterable[Known]) -> list[str]:
         """The engines to call now; each call is told back by answered(). `others`: those that take calls."""
--- /dev/null
+++ b/tests/test_hold_clock.py
@@ -0,0 +1,111 @@
+"""The clock of what is held, in virtual time: it runs on while an attempt is out that may not have arrived."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from claycross.decide.holds import HoldClock, HoldStatus
+from tests.desk import MS, READERS, SECOND, WRITERS
+from tests.test_fleet import asked, gateway
+
+WITHIN, GRACE = 300 * MS, 300 * MS  # of the settings, and of wires
+SPANS = st.integers(0, 2 * SECOND)
+
+
+def read(**over):
+    """A request whose state is held, with its write written to an engine that says nothing."""
+    core, clock, wires = gateway(**over)
+    wires.deaf = ()
+    r, first = asked(core)
+    core.done(first, "read")
+    core.flush()
+    return core, clock, wires, r, first
+
+
+@given(since=SPANS, written_after=SPANS)
+def test_a_hold_is_due_after_the_rules_time_and_with_room_for_the_call(since, written_after):
+    clock = HoldClock(WITHIN)
+    clock.restart(since)
+    written = clock.due_written(since + written_after)
+    assert since + WITHIN < clock.due() <= written <= clock.due_connecting() < since + WITHIN + GRACE
+    assert written - clock.due() <= max(0, written_after)
+
+
+def test_a_new_state_makes_a_release_forgotten():
+    clock = HoldClock(WITHIN)
+    clock.read()
+    clock.let_go(write_out=False)
+    assert not clock.writable()
+    clock.read()
+    assert clock.writable() and clock.status is HoldStatus.HELD and clock.states == 2
+
+
+def test_a_state_is_let_go_though_its_write_is_out():
+    core, clock, wires, r, first = read()
+    settled = clock.at
+    clock.pass_by(WITHIN, core)
+    assert not wires.released
+    clock.pass_by(GRACE, core)
+    assert wires.released == [(first.engine, "k1")]  # once: it was heard
+    assert clock.at - settled <= WITHIN + GRACE
+    assert not r.over and not wires.started[-1].over  # the write is waited for as before
+
+
+def test_a_write_that_begins_in_time_keeps_its_state():
+    core, clock, wires, r, first = read()
+    clock.pass_by(WITHIN, core)
+    core.began(wires.started[-1])
+    clock.pass_by(SECOND, core)
+    assert not wires.released
+
+
+def test_what_is_held_is_let_go_though_the_next_read_is_out():
+    """The next read may be at an engine that takes nothing; nothing is known of it before its outcome."""
+    core, clock, wires, r, first = read()
+    core.done(wires.started[-1], "stateless")  # of this state; what else was read for it may be there still
+    core.flush()
+    assert wires.started[-1].reads and not wires.released
+    clock.pass_by(WITHIN + GRACE, core)
+    assert {key for _, key in wires.released} == {"k1"} and not wires.started[-1].over
+
+
+def test_a_write_that_is_still_connecting_is_given_the_time_of_a_dial():
+    core, clock, wires = gateway()
+    wires.deaf = ()
+    r, first = asked(core)
+    wires.unmade = set(WRITERS)
+    core.done(first, "read")
+    core.flush()
+    clock.pass_by(WITHIN + 240 * MS, core)
+    wires.written()
+    assert not wires.released
+    write = wires.started[-1]
+    write.call = lambda: True  # it is up, and the write goes out
+    core.dispatched(write)
+    clock.pass_by(20 * MS, core)
+    wires.written()
+    assert wires.released == [(first.engine, "k1")]
+
+
+def test_a_release_for_an_older_state_is_not_written_once_a_newer_one_is_held():
+    core, clock, wires, r, first = read()
+    wires.unmade = {"none"}  # calls wait to be written
+    clock.pass_by(WITHIN + 100 * MS, core)
+    assert wires.calls
+    core.done(wires.started[-1], "stateless")
+    core.flush()
+    again = wires.started[-1]
+    assert again.reads and again.engine in READERS
+    core.done(again, "read")
+    core.flush()
+    wires.written()
+    assert not wires.released
+
+
+def test_a_request_that_ends_lets_go_once_more_of_what_was_spared():
+    core, clock, wires, r, first = read()
+    clock.pass_by(WITHIN + 100 * MS, core)
+    before = len(wires.released)
+    core.left(r)
+    core.flush()
+    clock.pass_by(SECOND, core)
+    assert len(wires.released) > before and not core.open and not core.releases
