--- a/tests/test_hold_clock.py
+++ b/tests/test_hold_clock.py
@@ -1,4 +1,4 @@
-"""The clock of what is held, in virtual time: it runs on while an attempt is out that may not have arrived."""
+"""The clock of what is held, in virtual time: it runs while an attempt is out that may not have arrived."""
 
 from hypothesis import given
 from hypothesis import strategies as st
