No release is made beside a read that is out; the state of an earlier read goes before it

By the logs 212 of 279 releases at their due time met a read that was out, and what that read made was gone when it ended. Ruled out: releases beside writes (67, of which 37 writes were answered: spared).

Change: no release while a read is out.

--- a/claycross/core.py
+++ b/claycross/core.py
@@ -23,6 +23,7 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 SPARE = 20 * MS  # after a deadline, until a request that the module left unanswered is failed here
 GIVEN_UP = ("cancelled", "timeout")  # outcomes of attempts that were called off here
+RELEASE_FIRST = 100 * MS  # that a read waits at most until the state of an earlier one has been let go
 DOUBT_AGAIN = 60 * MS  # a read that was cut off may have ended well while the release call was on its way
 # Of a stream, until it is taken for broken: a client may be kept waiting for 5 s after the last event.
 IDLE_TIMEOUT, IDLE_TIMEOUT_RESUMED = 4500 * MS, 4 * SECOND
@@ -91,6 +92,7 @@
         self.result = ""  # once it is over
         self.entry: i.EngineEntry | None = None  # of its engine, as it was listed when the attempt began
         self.call: Callable[[], bool] | None = None  # ends it; False: it never ran
+        self.sending = False  # it was handed to its wire after a wait
 
     def connecting(self) -> bool:
         """Whether its engine can't have got any of it yet."""
@@ -424,10 +426,36 @@
             return self.settle(t, "moot")
         if not self.may_go(t):
             return self.settle(t, "local_error")
-        if t.reads:
-            r.holders[t.engine] = False
         t.timer = self.clock.later(timeout, lambda: self.expire(t))
-        self.calls.start(t)
+        left = [engine for engine, doubt in r.holders.items() if not doubt] if t.reads else []
+        if t.reads:
+            r.holders[t.engine] = r.holders.get(t.engine, False)
+        if left:
+            self.release_before(t, left)
+        else:
+            self.calls.start(t)
+
+    def release_before(self, t: Attempt, left: list[str]) -> None:
+        """A read whose request has a state left from an earlier one: that is let go first. Not beside it, for
+        its engine would take the release for what it reads; and not after it, for it may arrive nowhere while
+        the rule's time runs on. The read waits for a bounded time only."""
+        waits = set(left)
+
+        def begin(engine: str = "") -> None:
+            if engine and engine != t.engine:
+                t.request.holders.pop(engine, None)
+            waits.discard(engine)
+            if not engine or not waits:
+                timer.cancel()
+                waits.clear()
+                if not t.over and not t.sending:
+                    t.sending = True
+                    self.calls.start(t)
+        timer = self.clock.later(RELEASE_FIRST, begin)
+        for engine in left:
+            w = self.new_release(engine, t.request.key, False, urgent=True)
+            w.heard = lambda engine=engine: begin(engine)
+            self.advance_release(w)
 
     def expire(self, t: Attempt) -> None:
         if not t.over:
@@ -516,12 +544,12 @@
         """What is held has waited for as long as it may. The holders stay named: a write that had arrived
         has what it waits for spared, and that is let go with what follows it."""
         r.hold_timer = None
-        if r.over or r.stream or not r.holders:
+        if r.over or r.stream or not r.holders or self.read_out(r):
             return
         if any(t.connecting() and not t.reads for t in r.attempts) and (
                 self.clock.now() < r.hold.due_connecting()):
             return self.watch_hold(r, r.hold.due_connecting())
-        r.hold.let_go(any(not t.over and not t.connecting() and not t.reads for t in r.attempts))
+        r.hold.let_go(write_out=self.at_work(r))
         self.count("hold-due")
         if self.trace:
             self.trace(f"hold-due request={r.key} holders={','.join(r.holders)} status={r.hold.status.name} "
@@ -529,15 +557,19 @@
         for engine, doubt in list(r.holders.items()):
             self.advance_release(self.new_release(engine, r.key, doubt, urgent=True))
 
+    def read_out(self, r: Request) -> bool:
+        """Whether a read is out: a release that its engine meets meanwhile is for what it makes, too."""
+        return any(t.reads and not t.over and not t.connecting() for t in r.attempts)
+
     def in_use(self, key: str, holder: str, urgent: bool = False, states: int = 1 << 62) -> bool:
         """To let go is to let go at every engine. Guards the state of a read that was sent since against
         calls that are made again, for the sake of one given up; with the first token all goes. An attempt
         that is still connecting has left nothing anywhere, and the rule's time runs on beside it. An urgent
-        call waits for no attempt that is out; a state that was read since stops it, too."""
+        call waits for no write that is out."""
         r = self.open.get(self.keys.get(key, -1))
         if not r or r.over:
             return False
-        newer = r.hold.states > states
+        newer = r.hold.states > states or self.read_out(r)
         connecting = {t.engine for t in r.attempts if t.connecting()}
         if r.stream or newer or (not urgent and (self.at_work(r) or r.holders.keys() - connecting)):
             if not r.stream and holder not in r.holders:
@@ -600,6 +632,7 @@
                 return
             if heard:
                 self.heard(engine)
+                w.heard()
             w.answered(engine, heard, self.clock.now(), w.holder in self.listed)
             if w.lost:
                 self.log(f"lease-lost engine={w.holder} request={w.key} relays={len(w.relays)}")
@@ -614,7 +647,8 @@
         r = self.open.get(self.keys.get(w.key, -1))
         if not r or r.over:
             return False
-        return bool(r.stream) or r.hold.states > w.states or (not w.urgent and self.at_work(r))
+        newer = r.hold.states > w.states or self.read_out(r)
+        return bool(r.stream) or newer or (not w.urgent and self.at_work(r))
 
     def at_work(self, r: Request) -> bool:
         return any(not t.over and not t.connecting() for t in r.attempts)
--- a/claycross/decide/release.py
+++ b/claycross/decide/release.py
@@ -14,7 +14,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from hashlib import blake2b
 from typing import NamedTuple
 
@@ -45,6 +45,7 @@
         self.next_relay: int | None = now if doubt else now + self.hedge
         self.passed = self.over = self.lost = False
         self.urgent = False  # the rule's time is over: it is made whatever is out for the request
+        self.heard: Callable[[], None] = lambda: None  # called when an engine has taken it
         self.states = 0  # how many states the request had been read when it was made
 
     def due(self, now: int, others: Iterable[Known]) -> list[str]:
