--- a/claycross/core.py
+++ b/claycross/core.py
@@ -15,7 +15,7 @@
 from . import interface as i
 from .decide import permits
 from .decide.confirmed import Confirmation
-from .decide.holds import HoldClock
+from .decide.holds import HoldClock, HoldStatus
 from .decide.release import Known, ReleaseCall
 from .invariant import invariant
 from .policy import Router
@@ -385,7 +385,8 @@
                        f"ms={(self.clock.now() - t.sent) / MS:.1f} kept={kept} "
                        f"at_ms={(t.sent - r.came) / MS:.1f} expected_ms={t.expected / MS:.1f} "
                        f"claimed={t.claimed if t.reads else 0} prompt={r.prompt}")
-        self.push(i.Outcome(r.number, t.n, t.engine, result, self.clock.now() - t.sent, kept, r.over, report))
+        self.push(i.Outcome(r.number, t.n, t.engine, result, self.clock.now() - t.sent, kept, r.over, report,
+                            not t.reads and r.hold.status is HoldStatus.DOUBTFUL))
 
     def forget(self, number: int) -> None:
         r = self.open.get(number)
--- a/claycross/interface.py
+++ b/claycross/interface.py
@@ -158,6 +158,7 @@
     found_kept: int = 0
     ended: bool = False
     report: LoadReport | None = None
+    released: bool = False  # of a write: its state was let go while it was out, unless it had arrived
 
 
 @dataclass(slots=True)
--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -508,7 +508,8 @@
             return
         if event.result != "local_error":
             r.avoid.append(a.engine.id)
-        if a.reads or event.result == "stateless" or r.state_at is None:
+        gone = event.released and a.unreached > 0  # let go, and the write can't have arrived before that
+        if a.reads or event.result == "stateless" or r.state_at is None or gone:
             r.state_at = None
             self.again(r)
         else:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -506,7 +506,7 @@
     writer = Engine("d")
     take = writer.take
 
-    def taken(message, wire):  # on the first connection, where it had rested: an answer from now on is its own
+    def taken(message, wire):  # on the first connection, once that had rested: an answer is its own then
         if first and wire is first["wire"]:
             rests.append(time.monotonic() - first["answered"])
             return wire.stream()
