--- a/standins/servers.py
+++ b/standins/servers.py
@@ -369,6 +369,7 @@
     more: dict = field(default_factory=dict)  # of the configuration
     door: bool = False  # the operators' door, on a free port
     classes: list = field(default_factory=list)  # more of them, in the words of the settings
+    give_up: int = 6 * 10**9  # ns that clients of the two usual ones wait
     passed: socket.socket | None = None  # the clients' listening socket, handed over as descriptor 3
     tmp: pathlib.Path | None = None  # $TMPDIR, where it is to be shared with another process
     environment: dict = field(default_factory=dict)  # more of it, for the gateway's process
@@ -382,7 +383,7 @@
             self.discovery.targets[e.uid] = e.target()
         settings = json.loads(json.dumps(SETTINGS))
         settings["categories"] = [
-            {"name": name, "slo": 10**9, "give-up": 6 * 10**9, "effect": effect, "streaming": True}
+            {"name": name, "slo": 10**9, "give-up": self.give_up, "effect": effect, "streaming": True}
             for name, effect in (("browse", "safe"), ("licence", "unsafe"))] + self.classes
         settings["membership-mode"] = self.mode
         settings["family-info"] |= {"resume": self.resume, **self.family}
