The times of a stop follow from the earliest kill that the deployment's deadlines allow

At fault: HAND_BACK, HANDED_BACK and EMPTIES_WITHIN were the figures for a longest deadline of 3 s. Change: decide/shutdown.py, from the classes' deadlines.

--- a/claycross/gateway.py
+++ b/claycross/gateway.py
@@ -19,6 +19,7 @@
 from .decide.confirmed import Confirmation, figures
 from .decide.engine_starts import EngineStarts
 from .decide.handover import Change, ChangeKind
+from .decide.shutdown import StopTimes
 from .fronts.admin import AdminFront, Tenants
 from .fronts.base import Front
 from .fronts.door import MOST_CALLERS, Door
@@ -47,9 +48,6 @@
     from .options import Http2 as Http2Options
 
 VERSION = "0.2.0"
-STILL_ACCEPTS = 500 * MS  # after SIGTERM: the front needs up to 0.4 s to notice
-EMPTIES_WITHIN = 2500 * MS  # of its listening socket, after that: what waits in it is accepted first
-HAND_BACK, HANDED_BACK = 2400 * MS, 3300 * MS  # after SIGTERM: streams still running go, bit by bit
 SHED_AFTER = 400 * MS  # after drain-on: the clients' front sends new connections for 0.3 s more
 RESERVED = 48  # descriptors that neither clients nor engines' connections may take
 COUNTED_AT_DOOR = ("denied-", "refused-", "closed-")  # counts of why something was not done, or ended
@@ -394,19 +392,22 @@
         self.stopping = True
         if self.config.passed is not None:  # the last word to the process that takes over
             self.state.stop()
+        times = StopTimes.of(spec.give_up for core in self.cores for spec in core.settings.classes.values())
         if self.gateways:
-            self.gateways.stop(HANDED_BACK)
+            self.gateways.stop(times.answered)
         self.log(f"stopping open={sum(len(core.open) for core in self.cores)}")
         for core in self.cores:
-            core.ends = self.loop.now() + HANDED_BACK
+            core.ends = self.loop.now() + times.answered
             core.push(Stopping())
         for front in self.fronts:
             front.drain()
             if front.listener.shared:  # what comes now waits in the socket for the process that takes over
                 front.listener.close()
-            self.loop.later(STILL_ACCEPTS, lambda front=front: front.close(EMPTIES_WITHIN))
-        self.loop.later(STILL_ACCEPTS, self.end)
-        self.loop.later(HAND_BACK, lambda: self.hand_back(self.loop.now() + HANDED_BACK - HAND_BACK))
+            self.loop.later(times.accepts, lambda front=front: front.close(
+                times.accepts_waiting - times.accepts))
+        self.loop.later(times.accepts, self.end)
+        self.loop.later(times.hand_back, lambda: self.hand_back(
+            self.loop.now() + times.answered - times.hand_back))
 
     def hand_back(self, until: int) -> None:
         """Guards streams that outlast the time a stopping gateway is given. Cut off all at once by its end,
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,20 @@
+"""The times of a stop lie in order before the kill, whatever the deadlines."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from claycross.decide.shutdown import KILL_AFTER_DEADLINE, LONGEST_COUNTED, StopTimes
+from tests.desk import MS, SECOND
+
+
+@given(st.lists(st.integers(0, 60 * SECOND), max_size=6))
+def test_all_is_done_before_the_earliest_kill(deadlines):
+    times = StopTimes.of(deadlines)
+    kill = min(max(deadlines, default=LONGEST_COUNTED), LONGEST_COUNTED) + KILL_AFTER_DEADLINE
+    assert 0 < times.accepts <= times.accepts_waiting <= times.answered <= kill - 300 * MS
+    assert 0 < times.hand_back < times.answered
+
+
+def test_usual_deadlines_have_the_usual_times():
+    assert StopTimes.of([6 * SECOND, 15 * SECOND]) == StopTimes(
+        500 * MS, 3000 * MS, 2400 * MS, 3300 * MS)
