Among thousands of engines a decision weighs a few dozen drawn, not all

At fault: each request walks the whole list several times (choosable, loads, ranks, room).

Change, for lists of over 256 engines: decide/engine_index.py has tables made when the list changes, an even draw for each request, and each key's first engines in rendezvous order, exactly those of a walk over all, kept from use to use (property test). Homes, holders and near writers are weighed before the draw. Sums over the list are believed for 100 ms. Up to 256 engines nothing is decided otherwise. A release looks at 128 engines for one that passes it on.

--- a/claycross/core.py
+++ b/claycross/core.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from itertools import islice
 from typing import Any, Protocol
 
 from . import interface as i
@@ -28,6 +29,7 @@
 # Of a stream, until it is taken for broken: a client may be kept waiting for 5 s after the last event.
 IDLE_TIMEOUT, IDLE_TIMEOUT_RESUMED = 4500 * MS, 4 * SECOND
 MOST_RELEASES = 4096  # under way at once
+MOST_RELAYS_KNOWN = 128  # engines that are looked at for one that may pass a release on
 ROUNDS = 50  # of events that follow from actions, within one moment
 
 # How a request ended, in the words of the figures: served, refused, failed. One whose client left: nowhere.
@@ -115,7 +117,8 @@
         self.waiting: dict[int, i.Arrival] = {}  # came while the list did not stand yet
         # Number of the last request. The module breaks ties by hashes of it: guards against gateways that all
         # count from one, whose hundredth requests all went to the same engine of many that looked alike.
-        self.last = random.Random(seed).getrandbits(32) << 20
+        self.random = random.Random(seed)
+        self.last = self.random.getrandbits(32) << 20
         self.ends = 0  # when this gateway will be gone, once that is known
         self.releases: dict[ReleaseCall, Any] = {}  # under way, and the timer of each
         self.answered: dict[str, int] = {}  # engines -> when they last answered this gateway
@@ -280,6 +283,7 @@
     def heard(self, engine: str) -> None:
         """It has answered: its machine and the way there are well."""
         if engine in self.listed:
+            self.answered.pop(engine, None)  # latest last
             self.answered[engine] = self.clock.now()
 
     def may_go(self, t: Attempt) -> bool:
@@ -608,10 +612,21 @@
         if w.over:
             return
         for engine in w.due(self.clock.now(), (Known(e.engine, e.zone, self.answered.get(e.engine, 0))
-                                               for e in self.listed.values() if e.condition == "ready")):
+                                               for e in self.relays() if e.condition == "ready")):
             self.call_release(w, engine)
         self.wait_for_release(w)
 
+    def relays(self) -> Iterator[i.EngineEntry]:
+        """Engines that may be asked to pass a release on: all of a small list; of a large one those that
+        answered last, and a few others."""
+        if len(self.listed) <= MOST_RELAYS_KNOWN:
+            yield from self.listed.values()
+            return
+        for engine in islice(reversed(self.answered), MOST_RELAYS_KNOWN // 2):
+            yield self.listed[engine]
+        for engine in self.random.sample(list(self.listed), MOST_RELAYS_KNOWN // 2):
+            yield self.listed[engine]
+
     def wait_for_release(self, w: ReleaseCall) -> None:
         if timer := self.releases.get(w):
             timer.cancel()
--- a/claycross/decide/learned.py
+++ b/claycross/decide/learned.py
@@ -12,7 +12,8 @@
 
 from typing import Any
 
-from ..policy import PACE_SAMPLES, RECENT, Router
+from ..policy import Router
+from .engine_health import PACE_SAMPLES, RECENT
 from .prefixes import PREFIX_AGE, Credit, SessionRecord
 
 MOST_ENGINES, MOST_SESSIONS, MOST_PREFIXES = 512, 1_024, 512
--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -8,11 +8,12 @@
 
 import random
 from collections import Counter, deque
-from collections.abc import Callable
-from statistics import median
-from typing import Any
+from collections.abc import Callable, Iterable
 
 from .decide import permits
+from .decide.engine_health import (
+    READ_PACE, TIMEOUTS_BACKED_OFF, Attempt, Engine, EngineHealth)
+from .decide.engine_index import spread
 from .decide.fleet.board import READ, WRITE, Board
 from .decide.fleet.sums import Sums
 from .decide.fleet.zones import ZoneReachability
@@ -20,7 +21,7 @@
 from .decide.rendezvous import rank, tag
 from .interface import (
     Abandoned, Action, Arrival, Cancel, CheckConnection, ClassSpec, ConnectionChecked, EngineEntry,
-    EngineList, Event, Fail, Heard, LoadReport, Log, Outcome, Refuse, Release, Send, SetTimer, Settings,
+    EngineList, Event, Fail, Heard, Log, Outcome, Refuse, Release, Send, SetTimer, Settings,
     Stopping, StreamBegan, Subscribe, Tell, TimerDue)
 
 MS, SECOND = 1_000_000, 1_000_000_000
@@ -33,18 +34,11 @@
 SHORT_PROMPT = 512  # tokens still to be read up to which a mixed server takes a prompt unread
 OTHER_CELL, OTHER_ZONE = 0.10, 0.15  # by how much of its memory a nearer writer may be fuller and still win
 OVERHEAD_TOKENS = 300  # fixed cost of a read (network, a step), as tokens
-READ_PACE, FIRST_TOKEN = 80_000, 150 * MS  # ns a token read, and to a writer's first, until some are seen
 CHECK_AFTER, UNREACHED = 100 * MS, 2  # beyond its expected time, an attempt's engine is dialled; failures
-SILENCE_TIMEOUT, SILENCE_TIMEOUT_MIN = 4.0, 400 * MS  # of an attempt: times its expected time, plus
-ALIVE, SUSPECT = 3.0, 0.5  # of it: at an engine with signs of life; after which a silent one is passed over
-BACKOFF, TIMEOUTS_BACKED_OFF = 1.5, 3  # times as long, for each time-out in a row at a role; for so many
-PACE_GAIN, TRIAL_GAIN = 0.2, 0.5  # weight of a new sample in an engine's pace, and while it is on trial
-PACE_SAMPLES, RECENT = 3, 11  # samples that are believed in full, and those of a role that are its median
-SLOW, FAILS = 3.0, 2  # times its peers' median pace, and failures in a row, that eject
-EJECT_BASE, EJECT_MAX = SECOND, 8 * SECOND  # first ejection, doubling up to the second figure
+ALIVE = 3.0  # of the silence time-out: at an engine with signs of life
+BACKOFF = 1.5  # times as long, for each time-out in a row at a role
 ASK_MOST = 3 * SECOND  # until a failed call to discovery is made again: what it tells counts after 6 s
 REPORTERS = 2  # nodes that met a failure there of late, this one included, for the same
-EJECT_SHARE, EJECT_ARRIVALS = 0.6, 4  # of a role at most, else the list is believed; arrivals it outlasts
 DIALS_FAILED, DIALS_WINDOW = 2, 2 * SECOND  # so many within so long keep to engines with open connections
 FULL_PAUSE = 150 * MS  # of a full writer
 BUCKET, RETRY_SHARE, RETRY_CAP = 2.0, 0.25, 12.0  # least quota depth; retries a request earns, saved most
@@ -54,26 +48,13 @@
 HOME_KEPT, HOME_GAIN = 0.5, 0.1  # share of a prompt found kept at its home: until seen; a sample's weight
 LOAD_JITTER = 2.0  # times the sends that no sum shows yet: the most by which a cost is blurred
 TELL_READ = 1000  # tokens from which a read is told to the other nodes: smaller ones are over first
-COLD_SAFETY, COLD_ARRIVALS = 0.8, 0.3  # share of the cold budget used, and of arrivals taken as served
-RATE_TIME = 8 * SECOND  # over which rates are averaged
 HOLD_STATE, END_MARGIN = 0.5, 3  # of release-within, for a state; ticks before a request's end, to answer it
 HOLD_GRACE = 250 * MS  # of the 300 ms that wires give what is held, on top; the rest is for the call
 SWEEP, SWEEP_IDLE = 20 * MS, 100 * MS  # between looks at what is held, and at what is merely out
+NEAR, HOLDERS = 16, 8  # of a large list: engines near by, and holders of a prompt, that are weighed first
 FORGET, LOG_GAP = 300 * SECOND, 5 * SECOND  # of ended requests never reported on; between log lines of a kind
 
 
-class Attempt:
-    def __init__(self, n: int, engine: Engine, reads: bool, in_place: bool, sent: int, work: float,
-                 expected: float, claimed: int, home: bool, backoff: float):
-        self.n, self.engine, self.reads, self.in_place, self.sent = n, engine, reads, in_place, sent
-        self.work, self.expected, self.claimed = work, expected, claimed
-        self.home = home  # sent to a home of what this node does not know
-        self.silence_timeout = int(SILENCE_TIMEOUT * backoff * expected + SILENCE_TIMEOUT_MIN)
-        self.checked, self.unreached = False, 0  # a check is under way or was passed; checks that failed
-        self.blamed = False  # its engine, for silence, while it is still waited for
-        self.ahead, self.result, self.cancelled = 0.0, "", False  # tokens that were to be read before it
-
-
 class Request:
     """One accepted request. Stages: held, reading, staged, writing, streaming, ended."""
 
@@ -94,172 +75,23 @@
         self.silent_zones: set[str] = set()  # where one of them gave no sign of life
 
 
-class Engine:
-    """What this node knows of one engine: its list entry, its own work there, the last report, its health."""
-
-    def __init__(self, entry: EngineEntry, role: str, memory: int):
-        self.id, self.entry, self.role, self.memory = entry.engine, entry, role, memory
-        self.pending: dict[tuple[int, int], Attempt] = {}
-        self.streams: dict[int, float] = {}  # request -> memory projected
-        self.sends: deque[tuple[int, float]] = deque(maxlen=1000)
-        self.reading = 0.0
-        self.reset()
-
-    def reset(self) -> None:  # it started anew: nothing learned of the old process holds
-        self.report: LoadReport | None = None
-        self.report_at = self.heard = self.ejected_until = self.full_until = 0
-        self.pace, self.samples, self.fails, self.ejections, self.misses = 0.0, 0, 0, 0, 0
-
-
 def find_homes(table: PrefixTable, event: Arrival, readers: list[Engine], warmth: Callable[[Engine], float],
-               loads_known: bool) -> tuple[list[Engine], list[Engine]]:
+               loads_known: bool, total: int) -> tuple[list[Engine], list[Engine]]:
     """The readers that the prefix (or, with none, the session) hashes to, alike at all nodes, and those that
     take the overflow of these, in order. Departure: where the others' loads are not known, a prefix with over
     HOT fair shares of the arrivals has further homes, each session one. Guards against a hot prefix, of whose
     load a node sees next to nothing; known loads decide better than shares of few arrivals. A cold reader is
-    home to its warmth's share of the sessions, alike at all nodes: guards it and what is kept there."""
+    home to its warmth's share of the sessions, alike at all nodes: guards it and what is kept there.
+    `readers`: those that can be chosen, of a large list the first of the key's order among them."""
     if not (key := event.prefix or event.session):
         return [], []
     share = (table.demand.get(event.prefix, 1.0) - 1) / (table.demand.get("", 0.0) + HOT_PRIOR)
-    count = 1 + int(share * len(readers) / HOT) if event.prefix and not loads_known else 1
+    count = 1 + int(share * total / HOT) if event.prefix and not loads_known else 1
     fit = [e for e in readers if (w := warmth(e)) >= 1 or rank(event.session or key, e.id) < w] or readers
     order = sorted(fit, key=lambda e: -rank(key, e.id))[:max(count, OVERFLOW)]
     return sorted(order[:count], key=lambda e: -rank(event.session, e.id)), order[count:]
 
 
-class EngineHealth:
-    """Judges engines against peers of the same role, by symptom."""
-
-    def __init__(self, settings: Settings, rng: random.Random):
-        self.settings, self.rng = settings, rng
-        self.engines: dict[str, Engine] = {}
-        self.report_failure: Callable[[str], None] = lambda engine: None  # tells the other nodes of a failure
-        self.recent = {role: deque([float(READ_PACE if role == "read" else FIRST_TOKEN)], maxlen=RECENT)
-                       for role in ("read", "write", "both")}  # the last paces, after a starting value
-        self.timeouts = Counter[str]()  # role -> those in a row that no sign of life came after
-        self.memo, self.now = dict[tuple[str, str], Any](), 0  # of this batch
-        self.rates: dict[str, tuple[float, int]] = {}  # role -> successes at warm engines; "" -> arrivals
-
-    def peers(self, role: str) -> list[Engine]:
-        return self.once("peers", role, lambda: [
-            e for e in self.engines.values() if e.role == role and e.entry.condition == "ready"])
-
-    def once(self, what: str, role: str, make: Callable[[], Any]) -> Any:
-        """Computed once a batch: rankings ask for it for every engine, which would cost a fleet squared."""
-        if (what, role) not in self.memo:
-            self.memo[what, role] = make()
-        return self.memo[what, role]
-
-    def typical(self, role: str) -> float:
-        """The peers' median pace: ns a token for readers, ns to the first token for others. Where most are
-        seldom seen, as at many nodes, the median of the role's last samples; a few outliers don't move it."""
-        def usual() -> float:
-            fresh = (e for e in self.peers(role) if self.now - e.heard < RATE_TIME)
-            seen = [e.pace for e in fresh if e.samples >= PACE_SAMPLES]
-            return median(self.recent[role] if 2 * len(seen) < len(self.peers(role)) or not seen else seen)
-        return self.once("typical", role, usual)
-
-    def slowness(self, e: Engine) -> float:
-        """Against its peers: when all are slow, nobody stands out. Few samples are believed less."""
-        believed = min(e.samples, PACE_SAMPLES) / PACE_SAMPLES
-        found = max(1.0, e.pace / self.typical(e.role)) ** believed if e.samples else 1.0
-        return max(found, 1 / self.warmth(e))
-
-    def sample(self, e: Engine, pace: float, now: int, timed_out: bool = False) -> None:
-        """A time-out with no sign of life since tells of its engine alone, which may be dead or cut off: it
-        lengthens further time-outs (Karn's algorithm), and counts for the role only where nothing answers.
-        Guards against a cut that made a node foretell ten times too long, and so refuse all it got."""
-        gain = TRIAL_GAIN if e.ejections else max(PACE_GAIN, 1 / (e.samples + 1))  # in proportions
-        e.pace = e.pace ** (1 - gain) * max(pace, 1.0) ** gain if e.samples else max(pace, 1.0)
-        e.samples += 1
-        self.timeouts[e.role] = self.timeouts[e.role] + 1 if timed_out else 0
-        if not timed_out or self.timeouts[e.role] > TIMEOUTS_BACKED_OFF:
-            self.recent[e.role].append(max(pace, 1.0))
-        self.memo.pop(("typical", e.role), None)
-        if self.slowness(e) > SLOW and not self.cold(e, now):
-            self.eject(e, now)
-
-    def good(self, e: Engine) -> None:
-        e.fails, e.ejections = 0, 0 if e.heard >= e.ejected_until else e.ejections
-
-    def bad(self, e: Engine, now: int, silent: bool = False) -> None:
-        if not (silent and self.cold(e, now)):  # a cold one that is slow to answer is no one else's concern
-            self.report_failure(e.id)
-        e.fails += 1 if now - e.heard < EJECT_MAX else FAILS  # met too seldom to wait for a second failure
-        if e.fails >= FAILS or e.ejections:
-            self.eject(e, now)
-
-    def eject(self, e: Engine, now: int) -> None:
-        """Outlier ejection with back-off and jitter, so that nodes do not come back in step: for engines that
-        are dead, cut off, fail fast or are far slower than their peers. It could harm when many suffer at
-        once; choosable() therefore believes it only up to EJECT_SHARE of a role."""
-        if now < e.ejected_until:
-            return
-        seldom = max(1.0, EJECT_ARRIVALS / SECOND / max(1e-12, self.rate("", now)))  # for thin traffic
-        span = min(EJECT_BASE << min(e.ejections, 6), EJECT_MAX) * min(seldom, 4.0)
-        e.ejected_until = now + int(span * (0.75 + 0.5 * self.rng.random()))
-        e.ejections, e.fails = e.ejections + 1, 0  # the pace stays: time-outs must grow while all are slow
-
-    def silent(self, e: Engine, a: Attempt, now: int, share: float = 1.0) -> bool:
-        return e.heard < a.sent and now - a.sent > a.silence_timeout * share  # no sign of life since
-
-    def well(self, e: Engine, now: int) -> bool:
-        """Once its ejection is over an engine is half-open: one real request at a time."""
-        return now >= e.ejected_until and not (e.ejections and e.pending) and not any(
-            self.silent(e, a, now, SUSPECT) for a in e.pending.values())
-
-    def choosable(self, role: str, now: int) -> list[Engine]:
-        return self.once("choosable", role, lambda: self.judge(self.peers(role), now))
-
-    def judge(self, ready: list[Engine], now: int) -> list[Engine]:
-        well = [e for e in ready if self.well(e, now)]
-        if len(well) < len(ready) * (1 - EJECT_SHARE):
-            well = ready  # a judgement against so many is more likely wrong, or leaves nothing better
-        return [e for e in well if self.slow_start_budget(e, now) > 0]
-
-    def cold(self, e: Engine, now: int) -> bool:
-        return e.entry.started_at > 0 and now - e.entry.started_at < self.settings.warm_after
-
-    def warmth(self, e: Engine) -> float:
-        """Share of its capacity that an engine has by now, at the least that the rule's figures allow."""
-        s, age = self.settings, self.now - e.entry.started_at
-        return s.cold_from + (1 - s.cold_from) * age / s.warm_after if self.cold(e, self.now) else 1.0
-
-    def slow_start_budget(self, e: Engine, now: int) -> float:
-        """Sends that a cold engine may still get in this window (rule 4); without end for a warm one.
-
-        What this node gets served by a warm peer is its slice of what such an engine carries (sends would not
-        do: a storm of retries is not capacity); part of its arrivals stands in where that is not known. Less
-        than one send a window is given as whole ones in some windows, nodes taking turns: a floor of one each
-        would be as many as there are nodes. It could starve an engine while few nodes have traffic.
-        """
-        if not self.cold(e, now):
-            return float("inf")
-        s = self.settings
-        window = s.fall_window + 2 * s.tick
-        while e.sends and now - e.sends[0][0] > window:
-            e.sends.popleft()
-        peers = self.peers(e.role)
-        warm = sum(not self.cold(p, now) for p in peers)
-        rate = max(self.rate(e.role, now) / max(1, warm), self.rate("", now) * COLD_ARRIVALS / len(peers))
-        budget = COLD_SAFETY * s.cold_from * s.fall_multiple * rate * s.fall_window
-        turn = rank("turn", e.id) + s.me / s.nodes
-        k = (now - e.entry.started_at) // window
-        share = int((k + 1) * budget + turn) - int(k * budget + turn)
-        if e.role == "read":  # homes() thins what all nodes send there; by turns each node had other homes
-            share = max(1, share)
-        return share - sum(w for _, w in e.sends)
-
-    def rate(self, role: str, now: int) -> float:
-        total, at = self.rates.get(role, (0.0, now))
-        return total * 0.5 ** ((now - at) / RATE_TIME) / (RATE_TIME / 0.693)
-
-    def count(self, role: str, now: int, cold: bool = False) -> None:
-        total, at = self.rates.get(role, (0.0, now))
-        self.rates[role] = (total * 0.5 ** ((now - at) / RATE_TIME) + (not cold), now)
-
-
-
 class Admission:
     """Quotas, the retry budget, and what waits before its read."""
 
@@ -291,7 +123,7 @@
         self.s = settings
         self.rng = random.Random(seed)
         self.table = PrefixTable()
-        self.health = EngineHealth(settings, self.rng)
+        self.health = EngineHealth(settings, self.rng.random)
         self.admission = Admission(settings)
         self.tells = settings.peers and settings.nodes > 1
         memory = min((m for k, m in settings.memory.items() if settings.roles.get(k) != "read"), default=0)
@@ -333,7 +165,7 @@
             self.acts.append(SetTimer(int(wait * (0.5 + self.rng.random())), "subscribe"))
             self.log("list", "discovery does not answer; working from the last list")
             return
-        self.list_fails, self.health.memo = 0, {}
+        self.list_fails = 0
         engines = self.health.engines
         if event.kind != "changes":
             for engine in sorted(engines.keys() - {entry.engine for entry in event.entries}):
@@ -350,16 +182,25 @@
             else:
                 memory = self.s.memory.get(entry.kind, 0)
                 engines[entry.engine] = Engine(entry, self.s.roles[entry.kind], memory)
+        self.health.listed()
 
     def on_heard(self, event: Heard) -> None:
         """Others' failures count with this node's own. Guards each of many nodes against finding out for
         itself about an engine that fails fast, whose emptiness draws requests; it could spread a false alarm,
         so it takes two voices, and only failures are told, never slowness, which is mostly load."""
         for found in self.board.hear(self.now, event.peer, event.payload):
-            for e in [e for e in self.health.engines.values() if self.board.tag(e.id) == found]:
+            for e in self.tagged(found):
                 if self.board.reporters(e.id, self.now) + min(1, e.fails) >= REPORTERS:
                     self.health.eject(e, self.now)
 
+    def tagged(self, tag: int) -> list[Engine]:
+        """The engines that go by this tag among gateways."""
+        tags: dict[int, list[Engine]] = self.health.now_and_then("tags", "", lambda: {})
+        if not tags:
+            for e in self.health.engines.values():
+                tags.setdefault(self.board.tag(e.id), []).append(e)
+        return tags.get(tag, [])
+
     def drop(self, engine: str) -> None:
         if e := self.health.engines.pop(engine, None):
             e.entry.condition = "gone"  # attempts still out there keep their accounts on it
@@ -518,7 +359,7 @@
     def again(self, r: Request) -> None:  # back to before the read, under the retry budget
         # What is held stays until a send, or HOLD_STATE: letting go is by request, at all engines, and on
         # real wires would come behind the next read. Guards its state; it could hold memory a little longer.
-        able = any(self.allowed(r, e) for e in self.health.engines.values())
+        able = self.allowed_somewhere(r, self.health.engines.values())
         if not (able and len(r.attempts) < self.s.max_attempts and self.admission.spend()):
             return self.give_up(r, why="attempts")
         r.stage, self.held[r.id] = "held", r
@@ -539,6 +380,11 @@
             return permits.refuse(r.cls, earlier) is None
         return permits.repeat(r.cls, earlier, e.entry, self.now, self.s.tick) is None
 
+    def allowed_somewhere(self, r: Request, engines: Iterable[Engine]) -> bool:
+        if r.cls.effect == "keyed" or not (risky := self.risky(r)):
+            return any(self.allowed(r, e) for e in engines)
+        return not (risky and r.cls.effect == "unsafe") and any(True for _ in engines)
+
     def risky(self, r: Request) -> list[Attempt]:  # those that may have run
         return [a for a in r.attempts if permits.may_have_run(a.reads, a.result)]
 
@@ -641,7 +487,8 @@
         matches = self.table.matches(event, self.now)
         usable = {e.id: matches.get(e.id, 0) for e in readers}
         homes, overflow = ([], []) if event.session in self.table.sessions else find_homes(
-            self.table, event, readers, self.health.warmth, self.board.live(self.now))
+            self.table, event, readers, self.health.warmth, self.board.live(self.now),
+            len(self.health.peers("read")) if self.health.large else len(readers))
         best = max(usable.values())
         likely = dict(usable)  # at its home other nodes had it read: that much was found kept there of late
         for e in (e for e in homes if not self.health.cold(e, self.now)):
@@ -702,20 +549,46 @@
             return WRITER_FULL * e.memory - mine * self.s.nodes
         return WRITER_FULL * e.memory - max(mine, share * e.memory + (e.report.waiting_tokens or 0.0))
 
-    def writers(self) -> list[Engine]:
-        return self.health.choosable("write", self.now) + self.health.choosable("both", self.now)
+    def writers(self, r: Request | None = None, near: EngineEntry | None = None) -> list[Engine]:
+        """Those that can be chosen; of a large list a draw, with those near an entry first."""
+        if not self.health.large:
+            return self.health.choosable("write", self.now) + self.health.choosable("both", self.now)
+        if r is None:
+            return self.health.once("writers", "", lambda: self.draw_writers(str(self.now), None))
+        return self.draw_writers(str(r.id), near)
+
+    def draw_writers(self, salt: str, near: EngineEntry | None) -> list[Engine]:
+        index, found = self.health.index, []
+        for role in ("write", "both"):
+            first = []
+            if near:
+                first = [list(spread(index.places.get((role, near.zone, near.cell), []), salt, NEAR)),
+                         list(spread(index.zones.get((role, near.zone), []), salt, NEAR))]
+            found += self.health.drawn(role, self.now, salt, first)
+        return found
+
+    def draw_readers(self, r: Request) -> list[Engine]:
+        """Of a large list: those that hold most of the prompt, the first of its order, and a draw."""
+        readers = self.health.index.by_id.get("read", {})
+        matches = self.table.matches(r.event, self.now)
+        holders = sorted(matches, key=lambda engine: (-matches[engine], engine))[:HOLDERS]
+        first = [[readers[engine] for engine in holders if engine in readers]]
+        if key := r.event.prefix or r.event.session:
+            first.append(list(self.health.orders.first(key)))
+        return self.health.drawn("read", self.now, str(r.id), first)
 
     def balance(self, cell: int, role: str, other: str) -> float:
         """The cell's share of one role over its share of the other, by the list. Departure: what a cell's
         writers can't take of its readers' work goes where writers are to spare. Guards near writers from
         filling while far ones idle, unseen by nodes that send to each but seldom."""
-        mine, its = (self.health.once("cells", of, lambda of=of: Counter(
+        mine, its = (self.health.now_and_then("cells", of, lambda of=of: Counter(
             e.entry.cell for e in self.health.peers(of))) for of in (role, other))
         return mine[cell] * its.total() / max(1, its[cell] * mine.total())
 
     def pick_writer(self, r: Request, near: Engine | None) -> Engine | None:
         """Lowest projected memory, the reader's cell first, then its zone, unless clearly fuller."""
-        fit = [e for e in self.writers() if self.allowed(r, e) and self.now >= e.full_until]
+        fit = [e for e in self.writers(r, near.entry if near else None)
+               if self.allowed(r, e) and self.now >= e.full_until]
         fit = self.reachable(r, [e for e in fit if e.id not in r.avoid] or fit)
         zone, cell = (near.entry.zone, near.entry.cell) if near else (self.s.zone, None)
         if near and rank(str(r.id), "near") >= self.balance(cell, "write", "read"):
@@ -742,8 +615,8 @@
             e = None if spent else self.pick_writer(r, r.state_at)
             if e is not None and self.send(r, e, False, 0.0, self.health.typical(e.role)):
                 del self.staged[r.id]
-            elif len(r.attempts) >= self.s.max_attempts or not any(
-                    self.allowed(r, w) for w in self.health.engines.values() if w.role != "read"):
+            elif len(r.attempts) >= self.s.max_attempts or not self.allowed_somewhere(
+                    r, (w for w in self.health.engines.values() if w.role != "read")):
                 self.give_up(r, why="attempts")
             elif self.held_long(r):
                 del self.staged[r.id]  # rule 5: no writer took it in time
@@ -754,7 +627,9 @@
         writers = self.writers()
         # Room at an engine on trial is no room: the empty look of a dead writer would let reads pile up.
         proven = [e for e in writers if not e.ejections] or writers
-        free = sum(max(0.0, self.room(e)) for e in proven) / self.sharing() - sum(
+        drawn_of = len(self.health.peers("write")) + len(self.health.peers("both"))
+        scale = max(1.0, drawn_of / max(1, len(writers))) if self.health.large else 1.0
+        free = scale * sum(max(0.0, self.room(e)) for e in proven) / self.sharing() - sum(
             r.need for r in self.requests.values() if r.stage in ("reading", "staged"))
         for r in sorted(self.held.values(), key=lambda r: (-self.admission.worth(r), r.came, r.id)):
             if r.holds and self.held_long(r):
@@ -769,9 +644,12 @@
                 free -= r.need
 
     def start(self, r: Request) -> bool:  # False leaves it held
-        readers = [e for e in self.health.choosable("read", self.now) if self.allowed(r, e)]
+        choosable = self.draw_readers(r) if self.health.large else self.health.choosable("read", self.now)
+        readers = [e for e in choosable if self.allowed(r, e)]
         fresh = self.reachable(r, [e for e in readers if e.id not in r.avoid] or readers)
-        mixed = [e for e in self.health.choosable("both", self.now) if self.allowed(r, e)]
+        both = (self.health.drawn("both", self.now, str(r.id), []) if self.health.large
+                else self.health.choosable("both", self.now))
+        mixed = [e for e in both if self.allowed(r, e)]
         best = max(self.table.matches(r.event, self.now).values(), default=0)
         if mixed and (not fresh or r.event.prompt - best <= SHORT_PROMPT):
             return self.in_place(r, mixed)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -9,7 +9,7 @@
 
 ROOT = pathlib.Path(__file__).parent.parent / "claycross"
 PURE = {"__future__", "bisect", "collections", "dataclasses", "enum", "functools", "hashlib", "heapq",
-        "itertools", "math", "operator", "typing"}
+        "itertools", "math", "operator", "statistics", "typing"}
 WIRES = {"http1.py", "http2.py", "lines.py"}
 LIBRARIES = {"h2", "hpack", "hyperframe", "msgspec", "prometheus_client"}  # of what is off on the platform
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,7 +7,7 @@
 import tomllib
 from statistics import median
 
-from claycross import policy
+from claycross.decide import engine_health
 from tests.desk import Desk
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -44,7 +44,7 @@
     """Medians taken anew for every engine that is ranked made the work grow with the square of the fleet."""
     def compared(size: int) -> int:
         seen = []
-        monkeypatch.setattr(policy, "median", lambda paces: seen.append(len(paces)) or median(paces))
+        monkeypatch.setattr(engine_health, "median", lambda paces: seen.append(len(paces)) or median(paces))
         d = Desk(engines=[f"{kind}{n}" for kind in "rw" for n in range(1, size + 1)], nodes=50)
         for e in d.router.health.engines.values():
             e.pace, e.samples = 50_000.0, 9
