--- a/claycross/core.py
+++ b/claycross/core.py
@@ -275,9 +275,11 @@
         for entry in event.entries:
             if entry.condition == "gone":
                 self.listed.pop(entry.engine, None)
+                self.answered.pop(entry.engine, None)
             else:
                 self.listed[entry.engine] = entry
-        self.answered = {e: at for e, at in self.answered.items() if e in self.listed}
+        if event.kind in ("full", "saved"):
+            self.answered = {e: at for e, at in self.answered.items() if e in self.listed}
         self.push(event)
 
     def heard(self, engine: str) -> None:
--- a/claycross/decide/bans.py
+++ b/claycross/decide/bans.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from ..interface import EngineEntry, EngineList
 
@@ -55,8 +55,8 @@
 
     def seen(self, entry: EngineEntry) -> EngineEntry:
         if entry.engine in self.banned and entry.condition == "ready":
-            return replace(entry, condition="draining")
-        return replace(entry)
+            return entry.copy(condition="draining")
+        return entry.copy()
 
     def remember(self, engine: str) -> None:
         self.ever[engine] = None
@@ -88,7 +88,7 @@
             return Verdict(True, f"{engine} is in already")
         del self.banned[engine]
         entry = self.told.get(engine)
-        news = EngineList("changes", [replace(entry)]) if entry else None
+        news = EngineList("changes", [entry.copy()]) if entry else None
         return Verdict(True, f"{engine} is back", news, True)
 
     def out(self) -> list[str]:
--- a/claycross/decide/engine_health.py
+++ b/claycross/decide/engine_health.py
@@ -79,15 +79,17 @@
         self.orders = RendezvousOrders(self.index, "read")
         self.reckoned: dict[tuple[str, str], tuple[int, Any]] = {}  # over a large list: when, and what
 
-    def listed(self) -> None:
-        """The list has changed."""
-        self.memo, self.large = {}, len(self.engines) > LARGE
-        if self.large:
+    def listed(self, changed: list[Engine]) -> None:
+        """The list has changed by these, that went among them."""
+        self.memo, was_large, self.large = {}, self.large, len(self.engines) > LARGE
+        if self.large and was_large:
+            self.index.change(changed)
+        elif self.large:
             self.index.rebuild(self.engines.values())
 
     def peers(self, role: str) -> list[Engine]:
         if self.large:
-            return self.index.ready.get(role, [])
+            return self.index.ready(role)
         return self.once("peers", role, lambda: [
             e for e in self.engines.values() if e.role == role and e.entry.condition == "ready"])
 
--- a/claycross/decide/engine_index.py
+++ b/claycross/decide/engine_index.py
@@ -23,7 +23,8 @@
 KEPT = 16  # engines kept of each key's order
 LEAST_KEPT = 6  # fewer are left: the order is made anew
 MOST_KEYS = 4096
-MOST_CHANGES = 64  # versions of the list that an order may be behind
+MOST_CHANGES = 256  # times that engines were added, which an order may be behind
+MOST_VERSIONS = 10_000  # versions of the list that it may be behind
 
 
 class Entry(Protocol):
@@ -42,37 +43,93 @@
 Place = tuple[str, str, int]  # role, zone, cell
 
 
+class Members(Generic[Engine]):
+    """A list that an engine joins and leaves at a cost that does not grow with it; its order is any."""
+
+    def __init__(self) -> None:
+        self.engines: list[Engine] = []
+        self.positions: dict[str, int] = {}
+
+    def add(self, engine: Engine) -> None:
+        """Takes the place of one of the same id."""
+        at = self.positions.get(engine.id)
+        if at is None:
+            self.positions[engine.id] = len(self.engines)
+            self.engines.append(engine)
+        else:
+            self.engines[at] = engine
+
+    def remove(self, engine: str) -> None:
+        at = self.positions.pop(engine, None)
+        if at is None:
+            return
+        last = self.engines.pop()
+        if at < len(self.engines):
+            self.engines[at] = last
+            self.positions[last.id] = at
+
+    def get(self, engine: str) -> Engine | None:
+        at = self.positions.get(engine)
+        return None if at is None else self.engines[at]
+
+
 class EngineIndex(Generic[Engine]):
-    """The ready engines of a list, as of its last change."""
+    """The ready engines of a list, kept as they come and go."""
 
     def __init__(self) -> None:
         self.version = 0
-        self.ready: dict[str, list[Engine]] = {}  # by role
-        self.places: dict[Place, list[Engine]] = {}
-        self.zones: dict[tuple[str, str], list[Engine]] = {}  # by role and zone
-        self.by_id: dict[str, dict[str, Engine]] = {}  # by role
-        self.added: deque[tuple[int, dict[str, list[str]]]] = deque(maxlen=MOST_CHANGES)
+        self.groups: dict[Place | tuple[str, str] | str, Members[Engine]] = {}
+        self.joined: dict[str, tuple[Place | tuple[str, str] | str, ...]] = {}  # engine -> its groups
+        self.added: deque[tuple[int, str, list[str]]] = deque(maxlen=MOST_CHANGES)  # version, role, engines
 
     def rebuild(self, engines: Iterable[Engine]) -> None:
-        """After a change of the list."""
-        before = self.by_id
+        """All of them anew."""
+        self.version += MOST_VERSIONS + 1  # no order is brought up to this from before
+        self.groups, self.joined = {}, {}
+        self.added.clear()
+        self.change(engines)
+
+    def change(self, engines: Iterable[Engine]) -> None:
+        """These have come, gone, or another entry."""
         self.version += 1
-        self.ready, self.places, self.zones, self.by_id = {}, {}, {}, {}
+        added: dict[str, list[str]] = {}
         for e in engines:
-            if e.entry.condition != "ready":
+            there, joins = self.joined.pop(e.id, ()), ()
+            if e.entry.condition == "ready":
+                joins = (e.role, (e.role, e.entry.zone), (e.role, e.entry.zone, e.entry.cell))
+                if there == joins and self.groups[e.role].get(e.id) is e:
+                    self.joined[e.id] = there
+                    continue
+            for group in there:
+                self.groups[group].remove(e.id)
+            if not joins:
                 continue
-            self.ready.setdefault(e.role, []).append(e)
-            self.by_id.setdefault(e.role, {})[e.id] = e
-            self.places.setdefault((e.role, e.entry.zone, e.entry.cell), []).append(e)
-            self.zones.setdefault((e.role, e.entry.zone), []).append(e)
-        self.added.append((self.version, {
-            role: list(found.keys() - before.get(role, {}).keys()) for role, found in self.by_id.items()}))
+            for group in joins:
+                self.groups.setdefault(group, Members()).add(e)
+            self.joined[e.id] = joins
+            if e.role not in there:
+                added.setdefault(e.role, []).append(e.id)
+        for role, names in added.items():
+            self.added.append((self.version, role, names))
+
+    def ready(self, role: str) -> list[Engine]:
+        """All of a role."""
+        return self.members(role).engines
+
+    def near(self, role: str, zone: str, cell: int | None = None) -> list[Engine]:
+        """Those of a zone, or of one of its cells."""
+        return self.members((role, zone) if cell is None else (role, zone, cell)).engines
+
+    def members(self, group: Place | tuple[str, str] | str) -> Members[Engine]:
+        """A group; an empty one where nobody has joined."""
+        return self.groups.get(group) or Members()
 
     def added_since(self, role: str, version: int) -> list[str] | None:
         """Engines that became ready since that version; None: it is too long ago to say."""
-        if version < self.version - len(self.added):
+        oldest = self.added[0][0] if len(self.added) == MOST_CHANGES else 0
+        if version < oldest or version < self.version - MOST_VERSIONS:
             return None
-        return [engine for at, added in self.added if at > version for engine in added.get(role, ())]
+        return [engine for at, of, added in self.added if at > version and of == role for engine in added]
 
 
 def spread(engines: list[Engine], salt: str, most: int) -> Iterator[Engine]:
@@ -105,7 +162,8 @@
 
     def first(self, key: str) -> Iterator[Engine]:
         """The engines of highest rank, in order; KEPT at most."""
-        found = self.index.by_id.get(self.role, {})
+        members = self.index.members(self.role)
+        found = members.positions
         order = self.orders.pop(key, None)
         if order is None or not self.update(order, key, found):
             ranks = sorted(((rank(key, engine), engine) for engine in found), reverse=True)
@@ -113,9 +171,9 @@
         self.orders[key] = order
         if len(self.orders) > MOST_KEYS:
             self.orders.popitem(last=False)
-        return (found[engine] for _, engine in order.ranks)
+        return (members.engines[found[engine]] for _, engine in order.ranks)
 
-    def update(self, order: KeptOrder, key: str, found: dict[str, Engine]) -> bool:
+    def update(self, order: KeptOrder, key: str, found: dict[str, int]) -> bool:
         """Brings it up to the list as it is now; False where it has to be made anew."""
         if order.version == self.index.version:
             return True
--- a/claycross/decide/engine_starts.py
+++ b/claycross/decide/engine_starts.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from ..interface import EngineEntry, EngineList
 
@@ -47,7 +47,7 @@
         when discovery last spoke before it told this; 0: it had not."""
         if found.kind == "failed":
             return found
-        before = dict(self.listed)
+        before = self.listed if found.kind == "changes" else dict(self.listed)
         if found.kind != "changes":
             self.leave(set(self.listed) - {entry.engine for entry in found.entries})
         entries = []
@@ -59,7 +59,7 @@
             known = before.get(entry.engine) or self.former.pop(entry.engine, None)
             start = self.start(entry, known, now, wall, word_before)
             self.listed[entry.engine] = start
-            entries.append(replace(entry, started_at=start.at, boot=start.boot))
+            entries.append(entry.copy(started_at=start.at, boot=start.boot))
         return EngineList(found.kind, entries)
 
     def leave(self, engines: set[str]) -> None:
--- a/claycross/emulator/client.py
+++ b/claycross/emulator/client.py
@@ -84,9 +84,11 @@
             raise Broken("ended in its body")
 
 
-def request(key: str, cls: str, session: str, prompt: int, span: float, body: bytes) -> bytes:
-    """The bytes of one chat request."""
+def request(key: str, cls: str, session: str, prompt: int, span: float, body: bytes,
+            prefix: str = "") -> bytes:
+    """The bytes of one chat request. `prefix`: names a shared opening, half of the prompt."""
+    opening = f",prefix={prefix},prefix_len={prompt // 2}" if prefix else ""
     lines = ["POST /v1/chat/completions HTTP/1.1", "Host: origin.svc", f"X-Request-ID: {key}",
              f"X-Priority-Class: {cls}", f"X-Route-Key: {session}", f"X-Timeout-Ms: {int(span * 1000)}",
-             f"X-Attrs: prompt_len={prompt},max_out=60", f"Content-Length: {len(body)}"]
+             f"X-Attrs: prompt_len={prompt},max_out=60{opening}", f"Content-Length: {len(body)}"]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/claycross/emulator/fleet.py
+++ b/claycross/emulator/fleet.py
@@ -22,7 +22,7 @@
 
     name: str
     role: Literal["read", "write", "both", "embed"]
-    count: Annotated[int, msgspec.Meta(ge=1, le=200)] = 1
+    count: Annotated[int, msgspec.Meta(ge=1, le=4000)] = 1
     slots: Whole = 8
     queue: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 40
     memory_tokens: Whole = 200_000
--- a/claycross/gateway.py
+++ b/claycross/gateway.py
@@ -211,7 +211,7 @@
         for found in news:
             for core, side in zip(self.cores, self.sides, strict=True):
                 side.told(found, {})
-                core.list(EngineList("changes", [replace(entry) for entry in found.entries]))
+                core.list(EngineList("changes", [entry.copy() for entry in found.entries]))
 
     def serves(self) -> str:
         """Why this process can't serve yet, or no longer; blank once it can."""
@@ -295,7 +295,7 @@
         self.learn(found)
         for core, side in zip(self.cores, self.sides, strict=True):
             side.told(found, endpoints)
-            core.list(EngineList(found.kind, [replace(entry) for entry in found.entries]))
+            core.list(EngineList(found.kind, [entry.copy() for entry in found.entries]))
         if first:
             self.admit()
 
--- a/claycross/interface.py
+++ b/claycross/interface.py
@@ -99,6 +99,13 @@
         """Differs from process to process of the engine; alike for all that list it."""
         return self.boot or self.started_at
 
+    def copy(self, condition: str = "", started_at: int | None = None,
+             boot: int | None = None) -> EngineEntry:
+        """Another one with these values changed; lists have thousands, and dataclasses.replace is slow."""
+        return EngineEntry(self.engine, self.kind, condition or self.condition, self.zone, self.cell,
+                           self.started_at if started_at is None else started_at, self.size,
+                           self.boot if boot is None else boot)
+
 
 @dataclass(slots=True)
 class EngineList:
--- a/claycross/membership/discovery.py
+++ b/claycross/membership/discovery.py
@@ -31,6 +31,7 @@
 LATEST_FIRST_WORD, FIRST_WORD_MARGIN = 3 * SECOND, 2  # the most waited for; times the last that was seen
 LOGGED = 10  # of tries that fail one after the other, the first and every such one is a line in the log
 MAX_LINE = 4 << 20
+LARGE_LIST = 500  # entries that are read in one turn of the loop and told in the next
 LATEST_BOOT = 10**14  # ms of Unix time: no start lies beyond the year 5138
 STATES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
 
@@ -54,7 +55,7 @@
 
 def read_targets(message: Any, kind: str = "") -> Told:
     """An entry that can't be read takes none of the others with it."""
-    entries, endpoints, junk = [], {}, ""
+    entries, endpoints, junk, unread = [], {}, "", 0
     try:
         version, targets = int(message["rev"]), list(message["targets"])
         kind = kind or ("full" if message.get("all") else "changes")
@@ -64,11 +65,13 @@
         try:
             entry, endpoint = read_target(target)
         except (*UNREADABLE, Junk) as err:
-            junk = junk or f"{type(err).__name__} {err}"
+            junk, unread = junk or f"{type(err).__name__} {err}", unread + 1
             continue
         entries.append(entry)
         if endpoint:
             endpoints[entry.engine] = endpoint
+    if unread > 1:
+        junk = f"{junk} (the first of {unread} such entries)"
     return Told(version, i.EngineList(kind, entries), endpoints, junk)
 
 
@@ -291,6 +294,11 @@
 
     def take(self, message: Any, address: Address) -> None:
         told = read_targets(message)
+        if len(told.found.entries) > LARGE_LIST:  # what waits meanwhile has its turn before the rest
+            heard = self.heard
+            self.loop.sleep(0)
+            if self.heard != heard:
+                raise Closed("a later address has told meanwhile")
         version, before = told.version, self.version if self.told_by == address else 0
         if told.found.kind == "changes" and version < before:
             self.version = 0  # older states would come back to life: the whole list is asked for
--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -166,13 +166,13 @@
             self.log("list", "discovery does not answer; working from the last list")
             return
         self.list_fails = 0
-        engines = self.health.engines
+        engines, gone = self.health.engines, list[Engine]()
         if event.kind != "changes":
             for engine in sorted(engines.keys() - {entry.engine for entry in event.entries}):
-                self.drop(engine)
+                gone += self.drop(engine)
         for entry in event.entries:
             if entry.condition == "gone" or entry.kind not in self.s.roles:
-                self.drop(entry.engine)
+                gone += self.drop(entry.engine)
             elif entry.engine in engines:
                 e = engines[entry.engine]
                 if entry.started_at != e.entry.started_at:
@@ -182,7 +182,7 @@
             else:
                 memory = self.s.memory.get(entry.kind, 0)
                 engines[entry.engine] = Engine(entry, self.s.roles[entry.kind], memory)
-        self.health.listed()
+        self.health.listed(gone + [engines[e.engine] for e in event.entries if e.engine in engines])
 
     def on_heard(self, event: Heard) -> None:
         """Others' failures count with this node's own. Guards each of many nodes against finding out for
@@ -201,10 +201,12 @@
                 tags.setdefault(self.board.tag(e.id), []).append(e)
         return tags.get(tag, [])
 
-    def drop(self, engine: str) -> None:
-        if e := self.health.engines.pop(engine, None):
-            e.entry.condition = "gone"  # attempts still out there keep their accounts on it
-            self.table.forget_reader(engine)
+    def drop(self, engine: str) -> list[Engine]:
+        if (e := self.health.engines.pop(engine, None)) is None:
+            return []
+        e.entry.condition = "gone"  # attempts still out there keep their accounts on it
+        self.table.forget_reader(engine)
+        return [e]
 
     def on_arrival(self, event: Arrival) -> None:
         if event.request in self.requests:
@@ -562,18 +564,19 @@
         for role in ("write", "both"):
             first = []
             if near:
-                first = [list(spread(index.places.get((role, near.zone, near.cell), []), salt, NEAR)),
-                         list(spread(index.zones.get((role, near.zone), []), salt, NEAR))]
+                first = [list(spread(index.near(role, near.zone, near.cell), salt, NEAR)),
+                         list(spread(index.near(role, near.zone), salt, NEAR))]
             found += self.health.drawn(role, self.now, salt, first)
         return found
 
     def draw_readers(self, r: Request) -> list[Engine]:
         """Of a large list: those that hold most of the prompt, the first of its order, and a draw."""
-        readers = self.health.index.by_id.get("read", {})
+        readers = self.health.index.members("read")
         matches = self.table.matches(r.event, self.now)
         holders = sorted(matches, key=lambda engine: (-matches[engine], engine))[:HOLDERS]
-        first = [[readers[engine] for engine in holders if engine in readers]]
-        if key := r.event.prefix or r.event.session:
+        first = [[e for engine in holders if (e := readers.get(engine))]]
+        key = r.event.prefix or r.event.session
+        if key and r.event.session not in self.table.sessions:
             first.append(list(self.health.orders.first(key)))
         return self.health.drawn("read", self.now, str(r.id), first)
 
--- a/claycross/upstream/calls.py
+++ b/claycross/upstream/calls.py
@@ -39,7 +39,7 @@
 
     def told(self, found: i.EngineList, endpoints: dict[str, Endpoint]) -> None:
         """News of the list, and where the engines in it listen."""
-        before = dict(self.endpoints)
+        before = dict(self.endpoints) if self.http2 else {}
         if found.kind != "changes":
             self.endpoints.clear()
         self.endpoints.update(endpoints)
