--- a/claycross/emulator/client.py
+++ b/claycross/emulator/client.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import re
 import socket
 import time
 from dataclasses import dataclass
 from typing import BinaryIO
 
 REFUSALS = (429, 503)
+WRITTEN_AT = re.compile(rb'"at":([0-9.]+)')  # by an engine on this machine
 
 
 class Broken(OSError):
@@ -24,6 +26,7 @@
 
     how: str
     first: float  # when its head was here, by the monotonic clock
+    delay: float = 0.0  # the longest that one of its events was under way, where events tell their time
 
 
 class Connection:
@@ -33,6 +36,8 @@
         self.sock = socket.create_connection(("127.0.0.1", port), timeout=timeout)
         self.port = self.sock.getsockname()[1]
         self.file: BinaryIO = self.sock.makefile("rb")
+        self.delay = 0.0
+        self.ends = False  # the last answer said that its connection closes
 
     def __enter__(self) -> Connection:
         return self
@@ -48,15 +53,18 @@
     def answer(self) -> Answer:
         """The next answer; OSError where none begins."""
         words = self.line().split()
-        first = time.monotonic()
+        first, self.delay = time.monotonic(), 0.0
         if len(words) < 2 or not words[1].isdigit():
             raise Broken("no status line")
         try:
-            self.body(self.headers())
+            headers = self.headers()
+            self.ends = headers.get("connection", "").lower() == "close"
+            self.body(headers)
         except OSError:
-            return Answer("broken", first)
+            return Answer("broken", first, self.delay)
         status = int(words[1])
-        return Answer("served" if status == 200 else "refused" if status in REFUSALS else "failed", first)
+        how = "served" if status == 200 else "refused" if status in REFUSALS else "failed"
+        return Answer(how, first, self.delay)
 
     def line(self) -> bytes:
         line = self.file.readline()
@@ -76,12 +84,16 @@
             self.exactly(int(headers.get("content-length", 0)))
             return
         while size := int(self.line(), 16):
-            self.exactly(size + 2)
+            data, now = self.exactly(size + 2), time.monotonic()
+            for written in WRITTEN_AT.findall(data):
+                self.delay = max(self.delay, now - float(written))
         self.line()
 
-    def exactly(self, size: int) -> None:
-        if len(self.file.read(size)) != size:
+    def exactly(self, size: int) -> bytes:
+        data = self.file.read(size)
+        if len(data) != size:
             raise Broken("ended in its body")
+        return data
 
 
 def request(key: str, cls: str, session: str, prompt: int, span: float, body: bytes,
--- a/claycross/emulator/judges.py
+++ b/claycross/emulator/judges.py
@@ -17,6 +17,10 @@
 LATE_WITHIN = 0.5
 CUT_ENDS = 0.5  # after a cut, until what was held back has come
 NEVER_RAN = ("", "full", "stateless")  # ends of an attempt at a writer that was turned away
+HELD_WITHIN = 0.3 + 0.3 + 0.05  # of the settings, of wires, and of the protocol's page
+PASSED_ON_WITHIN = 0.3
+BAD_CLIENT_WITHIN = 3.0
+AROUND = 0.5  # seconds before and after an event in which the soak's lag counts
 
 
 @dataclass(slots=True)
@@ -28,12 +32,15 @@
     gateway: int
     sent: float
     span: float  # that the client waits for the first token
-    how: str = ""  # "served", "refused", "failed", "broken" in its stream, "unanswered", "left", "nobody"
+    # "served", "refused", "failed", "broken" in its stream, "unanswered", "left", "nobody"; "crossed": its
+    # connection, which had carried others, ended without a word.
+    how: str = ""
     first: float = 0.0  # when its answer began
     ended: float = 0.0  # when its answer was whole, or its connection ended
     behind: float = 0.0  # when the answer before it on its connection was whole; 0: it was the first
     left: float = 0.0  # when the client closed; 0: it stayed
     closed: float = 0.0  # when its client was done with it
+    delay: float = 0.0  # the longest that an event of its stream was under way
     excused: bool = False  # its gateway was killed, or stopped for longer than allowed, while it had it
 
 
@@ -47,6 +54,27 @@
     begun: float
     told: float  # the time that it was told is left
     end: str
+    ended: float = 0.0  # 0: it had not ended
+
+
+@dataclass(slots=True)
+class Held:
+    """One state that was held at a reader."""
+
+    key: str
+    engine: str
+    since: float
+    until: float
+
+
+@dataclass(slots=True)
+class Bad:
+    """A client that sent no whole request and stayed."""
+
+    gateway: int
+    sent: float
+    closed: float  # when it had its error, or the end of its connection
+    excused: bool = False
 
 
 @dataclass(slots=True)
@@ -59,12 +87,18 @@
     unreached: list[tuple[float, float]] = field(default_factory=list)  # spans without discovery for some
     engine_troubles: list[tuple[float, float]] = field(default_factory=list)  # at engines, or on ways to them
     cuts: list[tuple[float, float]] = field(default_factory=list)  # ways to engines that held bytes back
-    lag: float = 0.0  # of the soak's own relays and engines at worst: added to every slack
+    lags: list[tuple[float, float]] = field(default_factory=list)  # when, and how late the soak itself was
+    states: list[Held] = field(default_factory=list)
+    bad: list[Bad] = field(default_factory=list)
     held: list[str] = field(default_factory=list)  # requests whose state was left at an engine at the end
     fell: int = 0  # engines that fell over in slow start
     gone: list[str] = field(default_factory=list)  # processes that ended, or started too late
     logged: list[str] = field(default_factory=list)  # breaches and errors in the gateways' logs
 
+    def lag(self, begin: float, end: float) -> float:
+        """How late the soak's own relays and engines were about then: added to what is judged."""
+        return max((lag for at, lag in self.lags if begin - AROUND <= at <= end + AROUND), default=0.0)
+
 
 def held_back(record: Record, r: Ran) -> bool:
     """Whether a relay may have held the attempt back: it takes bytes that a network that is cut would have
@@ -76,7 +110,7 @@
     """Every request gets one answer by its time and half a second, but those of gateways that were killed.
     One behind another has its turn after that one's answer, and gets its own by then if that is later."""
     def late(a: Asked) -> bool:
-        return a.first > max(a.sent + a.span, a.behind) + LATE_WITHIN + record.lag
+        return a.first > max(a.sent + a.span, a.behind) + LATE_WITHIN + record.lag(a.sent, a.first)
     return [f"{a.key} {a.how or 'nothing'} after {a.first - a.sent:.2f} of {a.span:.2f} s at g{a.gateway}"
             for a in record.asked
             if not a.excused and not a.left and (a.how in ("", "unanswered") or late(a))]
@@ -104,14 +138,14 @@
     return [f"{r.key} at {r.engine} {r.begun - left[r.key]:.2f} s after its client left"
             for r in record.ran
             if r.key in left and not held_back(record, r)
-            and r.begun > left[r.key] + LEFT_WITHIN + record.lag]
+            and r.begun > left[r.key] + LEFT_WITHIN + record.lag(left[r.key], r.begun)]
 
 
 def drained_get_nothing(record: Record) -> list[str]:
     """An engine that drains gets nothing new once that was told, at the latest six seconds after a time in
     which discovery could not be reached."""
     def bound(told: float) -> float:
-        within = told + DRAIN_WITHIN + record.lag
+        within = told + DRAIN_WITHIN + record.lag(told, told)
         for begin, end in sorted(record.unreached):
             if begin <= within and end >= told:
                 within = max(within, max(told, end) + TOLD_WITHIN)
@@ -126,7 +160,8 @@
     by_key = {a.key: a for a in record.asked}
     return [f"{r.key} at {r.engine} told {r.told:.2f}, left {left:.2f}" for r in record.ran
             if (a := by_key.get(r.key)) and not held_back(record, r)
-            and r.told > (left := a.sent + a.span - r.begun) + TIME_SLACK + record.lag]
+            and r.told > ((left := a.sent + a.span - r.begun) + TIME_SLACK
+                          + record.lag(r.begun, r.begun))]
 
 
 def nothing_held(record: Record) -> list[str]:
@@ -135,6 +170,54 @@
     return [key for key in record.held if key not in excused]
 
 
+def unused(state: Held, ran: Iterable[Ran]) -> tuple[float, float]:
+    """The longest span in which the state was held and no attempt of its request was out at an engine."""
+    longest = (state.since, state.since)
+    at = state.since
+    for r in sorted(ran, key=lambda r: r.begun):
+        if r.begun > at and min(r.begun, state.until) - at > longest[1] - longest[0]:
+            longest = (at, min(r.begun, state.until))
+        at = max(at, r.ended or state.until)
+    return (at, state.until) if state.until - at > longest[1] - longest[0] else longest
+
+
+def held_in_time(record: Record) -> list[str]:
+    """A state is taken by an attempt that has arrived, or let go, in its time, but where its gateway was
+    killed or stopped."""
+    excused = {a.key for a in record.asked if a.excused}
+    by_key: dict[str, list[Ran]] = {}
+    for r in record.ran:
+        by_key.setdefault(r.key, []).append(r)
+    found = []
+    for state in record.states:
+        begin, end = unused(state, by_key.get(state.key, ()))
+        if state.key not in excused and end - begin > HELD_WITHIN + record.lag(begin, end):
+            found.append(f"{state.key} at {state.engine} {end - begin:.2f} s")
+    return found
+
+
+def passed_on(record: Record) -> list[str]:
+    """An event of a stream is passed on at once, but where the way from its engine held it back."""
+    def troubled(a: Asked) -> bool:
+        return any(begin <= a.ended and end >= a.sent for begin, end in record.engine_troubles)
+    return [f"{a.key} {a.delay:.2f} s at g{a.gateway}" for a in record.asked
+            if not a.excused and not troubled(a)
+            and a.delay > PASSED_ON_WITHIN + record.lag(a.sent, a.ended)]
+
+
+def bad_clients_end(record: Record) -> list[str]:
+    """A client that sends half a request or junk and stays gets its error or its close."""
+    return [f"g{b.gateway} after {b.closed - b.sent:.2f} s" for b in record.bad
+            if not b.excused and b.closed - b.sent > BAD_CLIENT_WITHIN + record.lag(b.sent, b.closed)]
+
+
+def nothing_read_is_dropped(record: Record) -> list[str]:
+    """A request whose connection ended between two requests is sent once more; it was not read, so that it
+    reached no engine."""
+    ran = {r.key for r in record.ran}
+    return [f"{a.key} at g{a.gateway}" for a in record.asked if a.how == "crossed" and a.key in ran]
+
+
 def no_engine_falls(record: Record) -> list[str]:
     """No engine in slow start gets more than it bears."""
     return ["an engine in slow start"] * record.fell
@@ -158,6 +241,10 @@
     "drained engines get nothing new": drained_get_nothing,
     "engines are told what is left": told_what_is_left,
     "nothing stays held": nothing_held,
+    "what is held is used or let go in time": held_in_time,
+    "events are passed on at once": passed_on,
+    "bad clients are ended in time": bad_clients_end,
+    "no request that was read is dropped": nothing_read_is_dropped,
     "no engine falls in slow start": no_engine_falls,
     "processes live": processes_live,
     "no gateway counts a breach": nothing_logged,
--- a/claycross/emulator/model.py
+++ b/claycross/emulator/model.py
@@ -24,6 +24,9 @@
 from ..invariant import invariant
 
 
+MOST_AUDITED = 50_000  # states that are remembered for an audit
+
+
 @dataclass(frozen=True, slots=True)
 class Spec:
     """One kind of engines. Defaults lie within the ranges of the service's brief."""
@@ -106,6 +109,7 @@
     reader: Engine
     tokens: int
     blocks: int
+    since: float = 0.0
 
 
 @dataclass(slots=True)
@@ -242,6 +246,8 @@
         self.moves: dict[str, list[Move]] = {}  # by port or link
         self.heard: list[Heard] = []
         self.states: dict[str, State] = {}  # by request, wherever they wait
+        # States that were: request, reader, from, to; for an audit.
+        self.held: deque[tuple[str, str, float, float]] = deque(maxlen=MOST_AUDITED)
         self.counts: Counter[str] = Counter()
 
     def add(self, name: str, spec: Spec, zone: str = "a", cell: int = 0, cold: bool = False) -> Engine:
@@ -426,7 +432,7 @@
         if not job.reread:
             engine.keep(job)
         if s.role == "read":
-            state = State(job.key, engine, job.prompt, job.held)
+            state = State(job.key, engine, job.prompt, job.held, self.now)
             job.held = 0  # its blocks are the state's now
             if old := self.states.get(job.key):
                 self.drop_state(old)
@@ -535,6 +541,7 @@
         if self.states.get(state.key) is state:
             del self.states[state.key]
         if state.reader.states.get(state.key) is state:
+            self.held.append((state.key, state.reader.name, state.since, self.now))
             del state.reader.states[state.key]
             state.reader.give(state.blocks)
             self.admit(state.reader)
--- a/claycross/emulator/serve.py
+++ b/claycross/emulator/serve.py
@@ -25,6 +25,7 @@
 EVERY = 4  # tokens in one event
 UNKNOWN_HOLD = 300 * MS  # until a hold for a request that nobody reads is answered
 WATCH_BEAT = 2 * SECOND
+SILENT_LOOK = 20 * MS  # between looks whether an engine that stands still goes on
 ATTEMPTS = 50_000  # kept for an audit
 JSON = ("Content-Type", "application/json")
 STATES = {False: "Ready", True: "Terminating"}
@@ -95,6 +96,8 @@
             self.discovery.tell(name)
         elif do == "silent":
             server.engine.condition = "silent"
+        elif do == "resume":
+            server.engine.condition = "up" if server.engine.condition == "silent" else server.engine.condition
         elif do == "drain":
             server.engine.draining = True
             self.drains[name] = self.since()
@@ -143,9 +146,11 @@
     def one(self, ask: Exchange) -> None:
         self.world.pump()
         if self.engine.condition != "up":
-            if self.engine.condition == "silent":
-                ask.next()  # cut off: nothing comes until the other side leaves
-            return ask.cut()
+            while self.engine.condition == "silent" and not ask.gone:
+                ask.next(SILENT_LOOK)  # it stands still: nothing is taken before it goes on
+            if ask.gone or self.engine.condition != "up":
+                return ask.cut()
+            self.world.pump()
         head, path = ask.head, ask.head.target.partition("?")[0]
         if path.startswith("/kv/leases/"):
             return self.lease(ask, head.method, path.rpartition("/")[2])
@@ -274,7 +279,8 @@
 
 
 def event(delta: dict[str, str], reason: str | None = None) -> bytes:
-    body = {"choices": [{"index": 0, "delta": delta, "finish_reason": reason}]}
+    """One event; `at`, which no client needs, lets one on this machine tell how long it was under way."""
+    body = {"choices": [{"index": 0, "delta": delta, "finish_reason": reason}], "at": time.monotonic()}
     return b"data: %b\n\n" % json.dumps(body, separators=(",", ":")).encode()
 
 
@@ -350,6 +356,11 @@
         self.world = world
         super().__init__(world.loop, (world.file.host, world.file.control_port), 16, 60 * SECOND)
 
+    def held(self) -> list[tuple[str, str, float, float]]:
+        """Every state that was or is held: request, reader, from and to."""
+        fleet, now = self.world.fleet, self.world.since()
+        return [*fleet.held, *((s.key, s.reader.name, s.since, now) for s in fleet.states.values())]
+
     def one(self, ask: Exchange) -> None:
         if ask.head.method == "GET" and ask.head.target == "/state":
             self.world.pump()
@@ -366,7 +377,7 @@
             found = {"now": self.world.since(), "monotonic": time.monotonic(),
                      "attempts": list(self.world.attempts),
                      "drains": self.world.drains, "fell": self.world.fleet.counts["fell"],
-                     "states": list(self.world.fleet.states)}
+                     "states": list(self.world.fleet.states), "held": self.held()}
             return ask.whole(200, [JSON], json.dumps(found).encode())
         if ask.head.method != "POST" or ask.head.target != "/trouble":
             return ask.whole(404)
--- a/claycross/emulator/soak.py
+++ b/claycross/emulator/soak.py
@@ -14,6 +14,7 @@
 import shutil
 import signal
 import socket
+import subprocess
 import tempfile
 import threading
 import time
@@ -22,18 +23,31 @@
 from contextlib import suppress
 
 import click
+import msgspec
 
 from .client import Connection, request
 from .demo import CLASSES
 from .drill import Drill, DrillFile
 from .faults import Field, SystemFaults
-from .judges import Asked, Ran, Record, holds, verdict
+from .judges import Asked, Bad, Held, Ran, Record, holds, verdict
 from .relay import Fault, Spare
-from .troubles import Kind, Trouble, draw
+from .troubles import Kind, Trouble, draw, role
 
 EXCUSED_AROUND = 0.05  # seconds before and after a gateway's death in which its requests are excused
 AFTER_STOP = 0.5  # seconds until a gateway that was stopped has caught up
-ENDS_WITHIN = 8.0  # seconds after SIGTERM
+ENDS_WITHIN = 8.0  # seconds after SIGTERM, where nobody kills
+# SIGKILL comes so long after the longest deadline, counted as 3 s at most; what came within the second of
+# these spans after SIGTERM may still be unanswered then.
+LONGEST_COUNTED, KILL_AFTER_DEADLINE = 3.0, 0.7
+SERIES = ((signal.SIGHUP, signal.SIGHUP, signal.SIGTERM), (signal.SIGHUP, signal.SIGTERM),
+          (signal.SIGTERM, signal.SIGTERM), (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM))
+SIGNAL_GAP = 0.03  # seconds between two of a series, at most
+CROWD = 480  # idle connections, about as many as a gateway takes
+HANG_TIMES, HANG_SHARE, HANG_PAUSE = 3, 0.8, 0.4  # of a role that hangs: times, share, seconds between
+STAYS_FOR = 4.0  # seconds that a client goes on asking on one connection
+SHORT_EVERY, LARGE_EVERY = 4, 10  # of the seeds: with short deadlines; with many engines and few gateways
+SHORT_DEADLINE = 1.2  # seconds
+LARGE_ENGINES, LARGE_GATEWAYS = 2000, 2
 READY_WITHIN = 10.0
 PACE_EVERY = 0.05  # seconds between looks how late the soak itself is
 QUIET = 1.5  # seconds without load, until what is held is looked at
@@ -44,7 +58,8 @@
 LOGGED = re.compile(r"^.*(?:invariant name=|unexpected where=|Traceback).*$", re.MULTILINE)
 # Troubles that may break streams, and for how long after their span: a silent engine's stream is ended after
 # 4.5 s without an event.
-TROUBLE_LASTS = {Kind.ENGINE_RESTART: 0.5, Kind.ENGINE_SILENT: 6.0, Kind.CUT: 5.0, Kind.RESET: 0.5}
+TROUBLE_LASTS = {Kind.ROLE_HANGS: 10.0, Kind.ENGINE_RESTART: 0.5, Kind.ENGINE_SILENT: 6.0, Kind.CUT: 5.0,
+                 Kind.RESET: 0.5}
 UNREACHED = (Kind.STALL, Kind.RELOAD, Kind.STOP, Kind.CALLS)
 
 
@@ -58,6 +73,14 @@
         self.shims = [SystemFaults(folder, f"g{n}") for n in range(file.gateways)]
         self.doors: list[str] = []
         self.discoveries: list[tuple[str, str]] = []  # of each gateway: two ways to the one discovery
+        self.deadline = 0.0  # of all classes; 0: the usual ones
+
+    def settings(self, n: int) -> dict[str, object]:
+        made = super().settings(n)
+        if self.deadline:
+            for category in made["categories"]:
+                category |= {"give-up": int(self.deadline * 1e9), "slo": int(self.deadline * 0.5e9)}
+        return made
 
     def environment(self, n: int) -> dict[str, str]:
         return self.shims[n].environment()
@@ -96,6 +119,11 @@
 
     def __init__(self, folder: pathlib.Path, file: DrillFile, cooperation: str):
         self.fleet = Gateways(folder, file, cooperation)
+        self.fleet.deadline = SHORT_DEADLINE if file.seed % SHORT_EVERY == SHORT_EVERY - 1 else 0.0
+        longest = self.fleet.deadline or SPANS[1]
+        self.spans = (0.5 * longest, longest) if self.fleet.deadline else SPANS
+        self.kill_after = min(longest, LONGEST_COUNTED) + KILL_AFTER_DEADLINE
+        self.planned: list[tuple[int, float, float]] = []  # gateway, SIGTERM, SIGKILL
         self.file, self.record, self.lock = file, Record(), threading.Lock()
         self.down: dict[int, float] = {}  # gateway -> since when clients know that it is not there
         self.excused: list[tuple[int, float, float]] = []  # gateway, from, to
@@ -104,6 +132,7 @@
         self.zero, self.ended = 0.0, False
         self.deeds: dict[Kind, Callable[[Trouble, int], None]] = {
             Kind.KILL: self.kill, Kind.RESTART: self.restart, Kind.HOLD_UP: self.hold_up,
+            Kind.SIGNALS: self.signals, Kind.CROWD: self.crowd,
             Kind.STOP: self.stop, Kind.RELOAD: lambda t, n: self.fleet.reload(n),
             Kind.CALLS: self.calls, Kind.CLOCK: self.clock,
             Kind.DISK: self.disk, Kind.BAN: self.ban, Kind.DRAIN_GATEWAY: self.drain_gateway}
@@ -158,6 +187,16 @@
                 ask(do="slow", engine=t.engine, times=4, for_s=t.span)
             case Kind.ENGINE_SILENT:
                 ask(do="silent", engine=t.engine)
+            case Kind.ROLE_HANGS:
+                there = json.loads(self.fleet.ask(self.fleet.control, "GET", "/state")[1])["engines"]
+                these = sorted(name for name in there if role(name) == t.engine)
+                for _ in range(HANG_TIMES):
+                    for name in these[:int(HANG_SHARE * len(these))]:
+                        ask(do="silent", engine=name)
+                    time.sleep(t.span)
+                    for name in these[:int(HANG_SHARE * len(these))]:
+                        ask(do="resume", engine=name)
+                    time.sleep(HANG_PAUSE)
             case Kind.ENGINE_RESTART:
                 ask(do="kill", engine=t.engine)
                 time.sleep(t.span)
@@ -186,13 +225,45 @@
         self.down.pop(n, None)
 
     def restart(self, t: Trouble, n: int) -> None:
-        """SIGTERM; the process has to end by itself, and nothing that it had is excused."""
-        part = self.fleet.gateways[n]
-        part.process.send_signal(signal.SIGTERM)
-        self.down[n] = time.monotonic()
-        self.end(n)
+        """SIGTERM, and SIGKILL as early as it may come; clients use their connections until then."""
+        self.stop_by((signal.SIGTERM,), n)
+
+    def signals(self, t: Trouble, n: int) -> None:
+        self.stop_by(SERIES[t.series], n)
+
+    def stop_by(self, series: tuple[signal.Signals, ...], n: int) -> None:
+        """These signals, soon after each other, the end by SIGTERM or by the kill, and a new process."""
+        part, told = self.fleet.gateways[n], 0.0
+        for number in series:
+            if number is signal.SIGHUP:
+                self.fleet.reload(n)
+            else:
+                part.process.send_signal(number)
+                told = told or time.monotonic()
+            time.sleep(random.Random(f"{self.file.seed} {n} {number}").uniform(0, SIGNAL_GAP))
+        self.down[n] = told
+        try:
+            status = part.process.wait(max(0.0, told + self.kill_after - time.monotonic()))
+        except subprocess.TimeoutExpired:
+            part.process.kill()
+            part.process.wait()
+            with self.lock:
+                self.planned.append((n, told, time.monotonic()))
+        else:
+            if status != 0:
+                self.note(f"g{n} ended with {status} after {series}")
         self.begin(n)
 
+    def crowd(self, t: Trouble, n: int) -> None:
+        """Idle clients take the places of others."""
+        idle = []
+        with suppress(OSError):
+            for _ in range(CROWD):
+                idle.append(socket.create_connection(("127.0.0.1", self.fleet.fronts[n]), timeout=2))
+        time.sleep(t.span)
+        for sock in idle:
+            sock.close()
+
     def end(self, n: int) -> None:
         part = self.fleet.gateways[n]
         try:
@@ -271,8 +342,8 @@
     def client(self, number: int) -> None:
         """One client: mostly well-behaved."""
         rng = random.Random(f"{self.file.seed} client {number}")
-        behave = rng.choices((self.asks, self.leaves, self.pipelines, self.stays_half, self.junk),
-                             (80, 9, 6, 3, 2))[0]
+        behave = rng.choices((self.asks, self.leaves, self.pipelines, self.stays_half, self.junk, self.stays),
+                             (68, 9, 6, 3, 2, 12))[0]
         for n in self.pick(rng):
             with suppress(ConnectionRefusedError):
                 if behave(rng, number, n):
@@ -280,7 +351,7 @@
 
     def draw_request(self, rng: random.Random, key: str, n: int) -> tuple[Asked, bytes]:
         cls = tuple(CLASSES)[rng.random() < 1 / 3]
-        span = rng.uniform(*SPANS)
+        span = rng.uniform(*self.spans)
         body = b"x" * rng.randint(40_000, 250_000) if rng.random() < 0.05 else b'{"model":"chat"}'
         text = request(key, cls, f"c{rng.randrange(60)}", rng.randint(300, 4000), span, body)
         return Asked(key, cls, n, time.monotonic(), span), text
@@ -301,7 +372,7 @@
                 for asked, _ in drawn:
                     asked.behind = before
                     answer = connection.answer()
-                    asked.how, asked.first = answer.how, answer.first
+                    asked.how, asked.first, asked.delay = answer.how, answer.first, answer.delay
                     asked.ended = before = time.monotonic()
                     if answer.how == "broken":
                         break
@@ -314,6 +385,30 @@
             self.keep(asked)
         return True
 
+    def stays(self, rng: random.Random, number: int, n: int) -> bool:
+        """One request after the other on one connection, also while its gateway stops."""
+        until, turn = time.monotonic() + STAYS_FOR, 0
+        with Connection(self.fleet.fronts[n], SPANS[1] + 25) as connection:
+            while time.monotonic() < until:
+                asked, text = self.draw_request(rng, f"{number:08x}f{turn:02x}{self.file.seed:x}", n)
+                try:
+                    connection.send(text)
+                    answer = connection.answer()
+                except OSError:
+                    if turn == 0 and connection.port in self.fleet.net.unreached:
+                        return False
+                    asked.how = "crossed" if turn else "unanswered"
+                    self.keep(asked)
+                    return True
+                asked.how, asked.first, asked.delay = answer.how, answer.first, answer.delay
+                asked.ended = time.monotonic()
+                self.keep(asked)
+                turn += 1
+                if connection.ends or answer.how == "broken":
+                    return True
+                time.sleep(rng.uniform(0, 0.2))
+        return True
+
     def leaves(self, rng: random.Random, number: int, n: int) -> bool:
         asked, text = self.draw_request(rng, f"{number:08x}d{self.file.seed:x}", n)
         with Connection(self.fleet.fronts[n], 5) as connection, suppress(OSError):
@@ -324,20 +419,29 @@
         return True
 
     def stays_half(self, rng: random.Random, number: int, n: int) -> bool:
-        """Half a request, and no more. A load beside the others; how it ends is not judged."""
+        """Half a request, and no more."""
         _, text = self.draw_request(rng, f"{number:08x}e{self.file.seed:x}", n)
         with Connection(self.fleet.fronts[n], 6) as connection, suppress(OSError):
-            connection.send(text[:len(text) // 2])
-            connection.sock.recv(100)
+            self.send_bad(connection, text[:len(text) // 2], n)
         return True
 
     def junk(self, rng: random.Random, number: int, n: int) -> bool:
-        """Bytes that are no request. A load, too: how it ends is not judged."""
+        """Bytes that are no request."""
         with Connection(self.fleet.fronts[n], 6) as connection, suppress(OSError):
-            connection.send(rng.randbytes(200) + b"\r\n\r\n")
-            connection.sock.recv(100)
+            self.send_bad(connection, rng.randbytes(200) + b"\r\n\r\n", n)
         return True
 
+    def send_bad(self, connection: Connection, data: bytes, n: int) -> None:
+        """Bytes that are no whole request, until their error or the end of the connection."""
+        bad = Bad(n, time.monotonic(), 0.0)
+        try:
+            connection.send(data)
+            connection.sock.recv(100)
+        finally:
+            bad.closed = time.monotonic()
+            with self.lock:
+                self.record.bad.append(bad)
+
     def keep(self, asked: Asked) -> None:
         asked.closed = time.monotonic()
         with self.lock:
@@ -379,22 +483,32 @@
             begin = time.monotonic()
             with suppress(OSError):
                 self.fleet.ask(f"127.0.0.1:{relay}", "GET", "/pace")
-            self.record.lag = max(self.record.lag, time.monotonic() - begin)
+            self.record.lags.append((begin, time.monotonic() - begin))
             time.sleep(PACE_EVERY)
 
     def audit(self) -> None:
         """The engines' side of the record, in the machine's clock, and what is excused."""
         for asked in self.record.asked:
-            asked.excused = any(n == asked.gateway and begin <= asked.closed and end >= asked.sent
-                                for n, begin, end in self.excused)
+            asked.excused = self.is_excused(asked.gateway, asked.sent, asked.closed) or any(
+                n == asked.gateway and asked.sent <= told + KILL_AFTER_DEADLINE
+                and asked.closed >= killed - EXCUSED_AROUND for n, told, killed in self.planned)
+        for bad in self.record.bad:
+            bad.excused = self.is_excused(bad.gateway, bad.sent, bad.closed)
         found = json.loads(self.fleet.ask(self.fleet.control, "GET", "/audit")[1])
         zero = found["monotonic"] - found["now"]
-        self.record.ran = [Ran(key, engine, role, zero + begun, told / 1000, end)
-                           for key, engine, role, _, begun, _, end, told in found["attempts"]]
+        self.record.ran = [
+            Ran(key, engine, role, zero + begun, told / 1000, end, zero + ended if ended else 0.0)
+            for key, engine, role, _, begun, ended, end, told in found["attempts"]]
+        self.record.states = [Held(key, engine, zero + since, zero + until)
+                              for key, engine, since, until in found["held"]]
         self.record.drains = {engine: zero + at for engine, at in found["drains"].items()}
         self.record.held, self.record.fell = found["states"], found["fell"]
         self.ended = True
 
+    def is_excused(self, gateway: int, begin: float, end: float) -> bool:
+        """Whether its gateway was killed, or stopped for longer than allowed, in that time."""
+        return any(n == gateway and since <= end and until >= begin for n, since, until in self.excused)
+
     def end_all(self) -> None:
         """Every gateway is told to end, and its log is read."""
         for n, part in enumerate(self.fleet.gateways):
@@ -407,11 +521,22 @@
             self.record.logged += [f"g{n}: {line}" for line in lines]
 
 
+def large_fleet(folder: pathlib.Path) -> pathlib.Path:
+    """The file of a fleet with many engines."""
+    path = folder / "large-fleet.toml"
+    path.write_text('zones = ["kigali", "huye", "musanze"]\ncells = 8\noutput_tokens = 40\n' + "".join(
+        f'[[kind]]\nname = "{name}"\nrole = "{role}"\ncount = {LARGE_ENGINES // 2}\nslots = {slots}\n'
+        for name, role, slots in (("prefill", "read", 8), ("decode", "write", 64))))
+    return path
+
+
 def play(seed: int, seconds: float, gateways: int, rate: float, keep: str, cooperation: str) -> bool:
     """One run, told on standard output; True: no rule is broken."""
-    file = DrillFile(gateways=gateways, seconds=seconds, rate=rate, seed=seed)
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
+        file = DrillFile(gateways=gateways, seconds=seconds, rate=rate, seed=seed)
+        if seed % LARGE_EVERY == 0:
+            file = msgspec.structs.replace(file, gateways=LARGE_GATEWAYS, fleet=str(large_fleet(folder)))
         soak = Soak(folder, file, cooperation)
         try:
             soak.fleet.start()
@@ -432,7 +557,9 @@
     click.echo(f"seed {seed}: {len(soak.fleet.parts)} processes, {len(soak.troubles)} troubles, "
                f"{len(soak.record.asked)} requests ({dict(sorted(how.items()))}, {excused} excused), "
                f"{len(soak.record.ran)} attempts, {failed_calls} system calls made to fail, "
-               f"own lag {soak.record.lag:.2f} s")
+               f"{len(soak.record.states)} states, {len(soak.planned)} killed at the end of their time, "
+               f"deadlines {soak.spans[1]:.1f} s, "
+               f"own lag {max((lag for _, lag in soak.record.lags), default=0.0):.2f} s")
     for trouble in soak.troubles:
         click.echo(f"  {trouble}")
     for rule, these in found.items():
--- a/claycross/emulator/troubles.py
+++ b/claycross/emulator/troubles.py
@@ -13,6 +13,7 @@
 FIRST_STORM, STORM_EVERY, LAST_STORM = 1.5, 4.0, 3.0  # seconds; the last one so long before the load's end
 OVERLAP = 0.8  # seconds within which the troubles of a storm begin
 MOST_OUT = 3  # engines drained, killed or replaced in a run, of a role at most
+SERIES = 4  # of signals, by number
 STEPS = (1, -1, 10, -10, 3600, -3600)  # seconds of a wall clock
 
 
@@ -34,16 +35,21 @@
     ENGINE_SLOW = "engine-slow"
     ENGINE_SILENT = "engine-silent"  # and replaced
     STALL = "stall"  # discovery says nothing
+    SIGNALS = "signals"  # several in a row, SIGTERM the last or twice; a new process once it has ended
+    CROWD = "crowd"  # idle clients that fill the descriptors
+    ROLE_HANGS = "role-hangs"  # four in five engines of a role stand still, three times
     CUT = "cut"  # between the gateways of a zone and the engines of another
     RESET = "reset"  # of connections between them
 
 
-GATEWAYS = (Kind.KILL, Kind.RESTART, Kind.HOLD_UP, Kind.STOP, Kind.RELOAD, Kind.CALLS, Kind.CLOCK, Kind.DISK,
-            Kind.BAN, Kind.DRAIN_GATEWAY)  # troubles at gateways: each storm has them at different ones
+# Troubles at gateways: each storm has them at different ones.
+GATEWAYS = (Kind.KILL, Kind.RESTART, Kind.SIGNALS, Kind.CROWD, Kind.HOLD_UP, Kind.STOP, Kind.RELOAD,
+            Kind.CALLS, Kind.CLOCK, Kind.DISK, Kind.BAN, Kind.DRAIN_GATEWAY)
 ENGINES = (Kind.ENGINE_DRAIN, Kind.ENGINE_RESTART, Kind.ENGINE_SILENT, Kind.ENGINE_SLOW)
 SPANS = {Kind.HOLD_UP: (0.05, 0.14), Kind.STOP: (0.4, 2.0), Kind.CALLS: (0.8, 3.0), Kind.DISK: (0.2, 1.5),
          Kind.DRAIN_GATEWAY: (0.6, 2.0), Kind.ENGINE_RESTART: (0.2, 0.8), Kind.ENGINE_SLOW: (1.0, 3.0),
-         Kind.STALL: (0.5, 3.0), Kind.CUT: (0.5, 2.5), Kind.RESET: (0.2, 1.0), Kind.KILL: (0.05, 0.6)}
+         Kind.CROWD: (0.5, 2.0), Kind.ROLE_HANGS: (0.5, 1.2), Kind.STALL: (0.5, 3.0), Kind.CUT: (0.5, 2.5),
+         Kind.RESET: (0.2, 1.0), Kind.KILL: (0.05, 0.6)}
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,11 +63,13 @@
     engine: str = ""
     zones: tuple[str, str] = ("", "")  # of the gateways, of the engines
     value: int = 0  # seconds of a step
+    series: int = 0  # of signals, by number
 
     def __str__(self) -> str:
         words = [f"{self.at:6.2f} s {self.kind}", f"for {self.span:.2f} s" if self.span else "",
                  " ".join(f"g{n}" for n in self.gateways), self.engine, " -> ".join(filter(None, self.zones)),
-                 f"by {self.value} s" if self.value else ""]
+                 f"by {self.value} s" if self.kind is Kind.CLOCK else "",
+                 f"series {self.series}" if self.kind is Kind.SIGNALS else ""]
         return " ".join(word for word in words if word)
 
 
@@ -83,10 +91,13 @@
                     continue
                 target = rng.choice(engines) if kind is Kind.BAN else ""
                 value = rng.choice(STEPS) if kind is Kind.CLOCK else 0
-                troubles.append(Trouble(begin, kind, span, chosen, target, value=value))
+                series = rng.randrange(SERIES) if kind is Kind.SIGNALS else 0
+                troubles.append(Trouble(begin, kind, span, chosen, target, value=value, series=series))
             elif kind in ENGINES:
                 if name := pick_engine(rng, engines, spent):
                     troubles.append(Trouble(begin, kind, span, engine=name))
+            elif kind is Kind.ROLE_HANGS:
+                troubles.append(Trouble(begin, kind, span, engine=rng.choice(sorted(map(role, engines)))))
             elif kind is Kind.STALL:
                 troubles.append(Trouble(begin, kind, span))
             else:
