The soak's finds: the module is told of an end first; stand-ins hand out a list and its changes as one

Both are one step under a lock now; the emulator's discovery, which had the same gap and two writers on one watch, queues for each watch.

--- a/claycross/core.py
+++ b/claycross/core.py
@@ -249,8 +249,10 @@
         return key in self.keys
 
     def overdue(self, r: Request) -> None:
-        """The last resort, after the module's own timer; where both are due in one round of a process that
-        was held up, the module is heard first."""
+        """The last resort, after the module's own timer. In a process that was held up this may be due before
+        the module has set that timer, or in one round with it: the module is told of the end first."""
+        if not r.over and not r.stream:
+            self.push(i.TimerDue(f"end {r.number}"))
         self.flush()
         if not r.over and not r.stream:
             self.answer(r, "overdue", r.reply.fail)
--- a/claycross/emulator/serve.py
+++ b/claycross/emulator/serve.py
@@ -43,8 +43,8 @@
         self.discovery = Discovery(self)
         self.control = Control(self)
         self.reads: dict[str, Job] = {}  # reads that are out, by request
-        # What reached engines, for an audit: request, engine, role, class, from, to (s), what it brought, and
-        # the time that it was told is left (ms).
+        # What engines took, for an audit: request, engine, role, class, from, to (s), what it brought, the
+        # time that it was told is left (ms), and when its last byte came.
         self.attempts: deque[list[object]] = deque(maxlen=ATTEMPTS)
         self.drains: dict[str, float] = {}  # engine -> when it was told to
         for kind in file.kind:
@@ -145,6 +145,7 @@
 
     def one(self, ask: Exchange) -> None:
         self.world.pump()
+        came = self.world.since()
         if self.engine.condition != "up":
             while self.engine.condition == "silent" and not ask.gone:
                 ask.next(SILENT_LOOK)  # it stands still: nothing is taken before it goes on
@@ -168,7 +169,7 @@
             return ask.whole(400)
         if (job.engine_role == "embed") != (self.engine.spec.role == "embed"):
             return ask.whole(404)
-        self.work(ask, job)
+        self.work(ask, job, came)
 
     def lease(self, ask: Exchange, method: str, key: str) -> None:
         if method == "DELETE":
@@ -203,14 +204,15 @@
         asked.engine_role, asked.asked, asked.texts = "embed", parsed, texts
         return asked
 
-    def work(self, ask: Exchange, job: Asked) -> None:
-        """Sends it to the model, and says on the wire what the model tells."""
+    def work(self, ask: Exchange, job: Asked, came: float) -> None:
+        """Sends it to the model, and says on the wire what the model tells. `came`: when its last byte did,
+        which an engine that stands still takes later."""
         job.owner = ask
         if self.engine.spec.role == "read":
             self.world.reads[job.key] = job
         record: list[object] = [job.key, self.engine.name, self.engine.spec.role,
                                 ask.head.get("x-priority-class"), self.world.since(), 0.0, "",
-                                int(ask.head.get("x-timeout-ms") or 0)]
+                                int(ask.head.get("x-timeout-ms") or 0), came]
         self.world.attempts.append(record)
         self.world.fleet.send(self.engine, job)
         self.world.pump()
@@ -318,8 +320,9 @@
         self.changes.append((self.rev, target))
         del self.changes[:-1000]
         if not self.stalled:
-            for ask in list(self.watches):
-                self.loop.spawn(self.say, ask, {"rev": self.rev, "all": False, "targets": [target]})
+            for ask in self.watches:
+                ask.heard.append({"rev": self.rev, "all": False, "targets": [target]})
+                ask.signal.set()
 
     def say(self, ask: Exchange, message: dict[str, object] | None) -> None:
         try:
@@ -337,13 +340,13 @@
         if "watch=1" not in query.split("&"):
             return ask.whole(200, [JSON], json.dumps(self.whole()).encode())
         ask.begin([JSON])
-        self.say(ask, self.whole())
+        ask.heard.append(self.whole())  # and what changes from now on, in turn
         self.watches.add(ask)
         try:
             while not ask.gone:
-                ask.next(WATCH_BEAT)
-                if not ask.gone and not self.stalled:
-                    self.say(ask, None)
+                message = ask.next(WATCH_BEAT)
+                if not ask.gone and (message or not self.stalled):
+                    self.say(ask, message)
         finally:
             self.watches.discard(ask)
             ask.cut()
--- a/claycross/emulator/soak.py
+++ b/claycross/emulator/soak.py
@@ -497,8 +497,8 @@
         found = json.loads(self.fleet.ask(self.fleet.control, "GET", "/audit")[1])
         zero = found["monotonic"] - found["now"]
         self.record.ran = [
-            Ran(key, engine, role, zero + begun, told / 1000, end, zero + ended if ended else 0.0)
-            for key, engine, role, _, begun, ended, end, told in found["attempts"]]
+            Ran(key, engine, role, zero + begun, told / 1000, end, ended and zero + ended, zero + came)
+            for key, engine, role, _, begun, ended, end, told, came in found["attempts"]]
         self.record.states = [Held(key, engine, zero + since, zero + until)
                               for key, engine, since, until in found["held"]]
         self.record.drains = {engine: zero + at for engine, at in found["drains"].items()}
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -224,6 +224,7 @@
     def __init__(self):
         super().__init__()
         self.rev, self.targets, self.watches, self.froms = 1, {}, [], []
+        self.telling = threading.Lock()
         self.speaks = threading.Event()  # cleared: it takes the call and says nothing yet
         self.speaks.set()
         self.beats = True  # a blank line every 2 s while nothing changes
@@ -234,8 +235,9 @@
         self.froms.append(int(re.search(r"from=(\d+)", message.start)[1]))
         wire.begin()
         self.speaks.wait(30)
-        self.say(wire, True, list(self.targets.values()))
-        self.watches.append(wire)
+        with self.telling:  # what is told from here on is in the list or comes behind it
+            self.say(wire, True, list(self.targets.values()))
+            self.watches.append(wire)
         wire.sock.settimeout(2)
         while True:
             try:
@@ -252,11 +254,12 @@
         wire.event(json.dumps({"rev": self.rev, "all": whole, "targets": targets}).encode() + b"\n")
 
     def tell(self, *targets):
-        self.rev += 1
-        for t in targets:
-            self.targets[t["uid"]] = t
-        for wire in self.watches:
-            self.say(wire, False, list(targets))
+        with self.telling:
+            self.rev += 1
+            for t in targets:
+                self.targets[t["uid"]] = t
+            for wire in self.watches:
+                self.say(wire, False, list(targets))
 
     def junk(self, line):
         for wire in list(self.watches):
