--- a/claycross/decide/release.py
+++ b/claycross/decide/release.py
@@ -22,7 +22,8 @@
 AGAIN = (40 * MS, 80 * MS, 160 * MS, 320 * MS, 640 * MS, 1280 * MS)  # between tries at the holder
 HEDGE_SHARE = 0.2  # of the rule's time: an engine that has not answered by then is not waited for
 MOST_RELAYS = 6  # engines that are asked to pass one release on
-FRESH = 2000 * MS  # an engine that answered so lately is likely to do so again
+FRESH = 2000 * MS  # an engine that answered so lately is likely to do so again, ...
+MOMENT = 250 * MS  # ... the more so the later it did, told apart by this
 
 
 class Known(NamedTuple):
@@ -68,11 +69,12 @@
         return calls
 
     def choose(self, now: int, others: Iterable[Known]) -> str:
-        """Those that answered lately first, then those of other zones; by hash, so that the releases of all
-        gateways do not go to one engine."""
-        def order(k: Known) -> tuple[bool, bool, bytes]:
-            fresh = k.heard > 0 and now - k.heard < FRESH
-            return not fresh, k.zone == self.zone, blake2b(f"{self.key}|{k.engine}".encode()).digest()
+        """Those that answered last first, then those of other zones; by hash, so that the releases of all
+        gateways do not go to one engine. Guards against a role or zone that has just fallen silent, whose
+        engines have answered lately, too, but not in the last moment."""
+        def order(k: Known) -> tuple[int, bool, bytes]:
+            age = min(now - k.heard, FRESH) // MOMENT if k.heard > 0 else FRESH // MOMENT
+            return age, k.zone == self.zone, blake2b(f"{self.key}|{k.engine}".encode()).digest()
         fit = [k for k in others if k.engine != self.holder and k.engine not in self.relays]
         return min(fit, key=order).engine if fit else ""
 
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -78,6 +78,18 @@
         assert ReleaseCall(f"k{n}", "h", "a", WITHIN, now, True).due(now, others) == ["h", "near"]
 
 
+@pytest.mark.parametrize("doubt", [True, False])
+def test_a_role_that_has_just_fallen_silent_is_not_asked_before_those_that_answer_still(doubt):
+    """All have answered in the last second; four in five have not in the last 0.3 s, the holder among them."""
+    now = 10 * SECOND
+    for n in range(200):
+        ages = [10 * MS if k % 5 == 0 else 300 * MS + k * MS for k in range(60)]
+        others = [Known(f"e{k}", "abc"[k % 3], now - age) for k, age in enumerate(ages)]
+        release = ReleaseCall(f"k{n}", "holder", "a", WITHIN, now, doubt)
+        ends = play(release, others, lambda e: e != "holder" and int(e[1:]) % 5 == 0, now + WITHIN)
+        assert min(at for at, _, heard in ends if heard) <= now + release.hedge + 5 * MS
+
+
 def test_releases_of_many_requests_go_to_many_engines():
     others = [Known(f"e{k}", "b", 0) for k in range(30)]
     assert len({ReleaseCall(f"k{n}", "h", "a", WITHIN, 0, True).due(0, others)[1] for n in range(100)}) > 15
