--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -79,7 +79,7 @@
 
 
 @pytest.mark.parametrize("doubt", [True, False])
-def test_a_role_that_has_just_fallen_silent_is_not_asked_before_those_that_answer_still(doubt):
+def test_a_role_that_has_just_fallen_silent_is_asked_last(doubt):
     """All have answered in the last second; four in five have not in the last 0.3 s, the holder among them."""
     now = 10 * SECOND
     for n in range(200):
