--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -80,7 +80,7 @@
 
 @pytest.mark.parametrize("doubt", [True, False])
 def test_a_role_that_has_just_fallen_silent_is_asked_last(doubt):
-    """All have answered in the last second; four in five have not in the last 0.3 s, the holder among them."""
+    """All answered in the last second; four in five not in the last 0.3 s, the holder among them."""
     now = 10 * SECOND
     for n in range(200):
         ages = [10 * MS if k % 5 == 0 else 300 * MS + k * MS for k in range(60)]
