An engine that reads by itself needs no state: a released one keeps no attempt from it

Read, not met: after a state was let go with no write out, an attempt at a mixed engine, or at a writer where writers read, was kept back as one that needs the state. The test fails without the change.

--- a/claycross/core.py
+++ b/claycross/core.py
@@ -94,6 +94,7 @@
         self.result = ""  # once it is over
         self.entry: i.EngineEntry | None = None  # of its engine, as it was listed when the attempt began
         self.call: Callable[[], bool] | None = None  # ends it; False: it never ran
+        self.fetches = False  # it needs the state that a read has left: its engine can't read by itself
         self.sending = False  # it was handed to its wire after a wait
 
     def connecting(self) -> bool:
@@ -295,7 +296,7 @@
         client may have left, or the window in which it may run again may have ended."""
         r = t.request
         denial = permits.send(t.over, r.over, r.reply.client_left(), self.listed.get(t.engine), t.until,
-                              self.clock.now(), t.reads or r.hold.writable())
+                              self.clock.now(), not t.fetches or r.hold.writable())
         if denial:
             self.deny("send", r, denial)
         return denial is None
@@ -420,6 +421,7 @@
             role = self.settings.roles.get(entry.kind)
         timeout = max(0, min(a.timeout or r.deadline - now, r.deadline - now))
         t = Attempt(r, len(r.attempts), role == "read", now, timeout, a)
+        t.fetches = role == "write" and not self.settings.writers_read
         denial = permits.begin(r.over, r.stream is not None, timeout, len(r.attempts),
                                self.settings.max_attempts, r.out, self.settings.may_duplicate)
         invariant(denial is not permits.Denial.COPY_OUT, "one-copy", f"request {r.key}")
