--- a/tests/test_held_states.py
+++ b/tests/test_held_states.py
@@ -1,12 +1,13 @@
 """A read state is taken by a write that has arrived, or let go in time, whatever the writers do."""
 
 import contextlib
+import signal
 import threading
 import time
 
 import pytest
 
-from standins.servers import Engine, chat
+from standins.servers import Engine, chat, eventually, passes
 
 RELEASE_WITHIN = 0.3  # seconds, as in the settings
 SOCKET_GRACE = 0.35  # what the protocol's pages add on sockets
@@ -97,6 +98,27 @@
     assert sorted(answers) == keys  # and each client has its one answer
 
 
+@pytest.mark.parametrize("crossing", ["full buffer", "stop", "client leaves"])
+def test_a_state_is_let_go_whatever_else_crosses_the_silence_of_its_writer(site, crossing):
+    """A body that its writer's system does not take whole; a gateway that stops; a client that goes."""
+    reader, writers = StateReader(), [SilentWriter() for _ in range(2)]
+    released = ReleaseLog(reader)
+    s = site(reader, *writers, release=True)
+    body = b"x" * 250_000 if crossing == "full buffer" else b"{}"
+    with s.client() as client:
+        chat(client, cls="licence", key="crossed01", timeout=GIVE_UP, body=body)
+        eventually(lambda: "crossed01" in reader.held_since)
+        if crossing == "stop":
+            s.process.send_signal(signal.SIGTERM)
+        elif crossing == "client leaves":
+            passes(0.1)
+            client.__exit__()
+        eventually(lambda: "crossed01" in released.at, 2)
+    for writer in writers:
+        writer.runs.set()
+    assert held_for(reader, released, "crossed01") <= RELEASE_WITHIN + SOCKET_GRACE
+
+
 def test_a_writer_that_runs_and_is_slow_loses_nothing(site):
     """A release spares what an attempt waits for: nothing is read again, and no licence is sent twice."""
     def begin_late(engine, message, wire):
