Read once more: one predicate, one load loop, one fleet text; no flag where a local will do

Core.in_use and used_again share overtaken(); a release is given whether it is urgent and behind how many states where it is made; the attempt's flag sending, used by release_before alone, is a local there. The token of a request's deadline timer, written in core and module, is interface.deadline_token. allowed_somewhere and tagged say the same in less. The drill and the soak play their load by one loop (drill.play_load); the soak and bench.scale write one text of a large fleet (fleet.plain_fleet).

--- a/bench/scale.py
+++ b/bench/scale.py
@@ -23,6 +23,7 @@
 
 from claycross.emulator.client import Connection, request
 from claycross.emulator.demo import Part, ask, settings
+from claycross.emulator.fleet import plain_fleet
 
 GATEWAYS = 2
 RATE = 22.0  # requests a second at each gateway
@@ -62,10 +63,7 @@
 
     def start(self) -> None:
         fleet = self.folder / "fleet.toml"
-        kinds = "".join(f'[[kind]]\nname = "{name}"\nrole = "{role}"\ncount = {self.engines // 2}\n'
-                        f"slots = {slots}\nmemory_tokens = 200000\n"
-                        for name, role, slots in (("prefill", "read", 8), ("decode", "write", 64)))
-        fleet.write_text('zones = ["kigali", "huye", "musanze"]\ncells = 8\n' + kinds)
+        fleet.write_text(plain_fleet(self.engines))
         emulator = Part(self.folder, "emulator", "emulate", str(fleet))
         self.parts.append(emulator)
         discovery, self.control = emulator.said(r"discovery=(\S+) control=(\S+)").groups()
--- a/claycross/core.py
+++ b/claycross/core.py
@@ -95,7 +95,6 @@
         self.entry: i.EngineEntry | None = None  # of its engine, as it was listed when the attempt began
         self.call: Callable[[], bool] | None = None  # ends it; False: it never ran
         self.fetches = False  # it needs the state that a read has left: its engine can't read by itself
-        self.sending = False  # it was handed to its wire after a wait
 
     def connecting(self) -> bool:
         """Whether its engine can't have got any of it yet."""
@@ -253,7 +252,7 @@
         """The last resort, after the module's own timer. In a process that was held up this may be due before
         the module has set that timer, or in one round with it: the module is told of the end first."""
         if not r.over and not r.stream:
-            self.push(i.TimerDue(f"end {r.number}"))
+            self.push(i.TimerDue(i.deadline_token(r.number)))
         self.flush()
         if not r.over and not r.stream:
             self.answer(r, "overdue", r.reply.fail)
@@ -450,22 +449,25 @@
         """A read whose request has a state left from an earlier one: that is let go first. Not beside it, for
         its engine would take the release for what it reads; and not after it, for it may arrive nowhere while
         the rule's time runs on. The read waits for a bounded time only."""
-        waits = set(left)
+        waits, begun = set(left), False
 
-        def begin(engine: str = "") -> None:
-            if engine and engine != t.engine:
+        def begin() -> None:
+            nonlocal begun
+            timer.cancel()
+            if not begun and not t.over:
+                begun = True
+                self.calls.start(t)
+
+        def heard(engine: str) -> None:
+            if engine != t.engine:
                 t.request.holders.pop(engine, None)
             waits.discard(engine)
-            if not engine or not waits:
-                timer.cancel()
-                waits.clear()
-                if not t.over and not t.sending:
-                    t.sending = True
-                    self.calls.start(t)
+            if not waits:
+                begin()
         timer = self.clock.later(RELEASE_FIRST, begin)
         for engine in left:
             w = self.new_release(engine, t.request.key, False, urgent=True)
-            w.heard = lambda engine=engine: begin(engine)
+            w.heard = lambda engine=engine: heard(engine)
             self.advance_release(w)
 
     def expire(self, t: Attempt) -> None:
@@ -580,9 +582,8 @@
         r = self.open.get(self.keys.get(key, -1))
         if not r or r.over:
             return False
-        newer = r.hold.states > states or self.read_out(r)
         connecting = {t.engine for t in r.attempts if t.connecting()}
-        if r.stream or newer or (not urgent and (self.at_work(r) or r.holders.keys() - connecting)):
+        if self.overtaken(r, urgent, states) or (not urgent and r.holders.keys() - connecting):
             if not r.stream and holder not in r.holders:
                 r.holders[holder] = True  # it is let go of with what follows
                 self.watch_hold(r)
@@ -595,10 +596,9 @@
         while len(self.releases) >= MOST_RELEASES:
             self.count("release-dropped")
             self.end_release(next(iter(self.releases)))
-        w = ReleaseCall(key, holder, zone, self.settings.release_within, self.clock.now() + after, doubt)
-        w.urgent = urgent
-        if r := self.open.get(self.keys.get(key, -1)):
-            w.states = r.hold.states
+        r = self.open.get(self.keys.get(key, -1))
+        w = ReleaseCall(key, holder, zone, self.settings.release_within, self.clock.now() + after, doubt,
+                        urgent, r.hold.states if r else 0)
         self.releases[w] = None
         return w
 
@@ -669,8 +669,12 @@
         r = self.open.get(self.keys.get(w.key, -1))
         if not r or r.over:
             return False
-        newer = r.hold.states > w.states or self.read_out(r)
-        return bool(r.stream) or newer or (not w.urgent and self.at_work(r))
+        return self.overtaken(r, w.urgent, w.states)
+
+    def overtaken(self, r: Request, urgent: bool, states: int) -> bool:
+        """Whether a release made behind so many states would let go of what the request needs by now."""
+        newer = r.hold.states > states or self.read_out(r)
+        return bool(r.stream) or newer or (not urgent and self.at_work(r))
 
     def at_work(self, r: Request) -> bool:
         return any(not t.over and not t.connecting() for t in r.attempts)
--- a/claycross/decide/release.py
+++ b/claycross/decide/release.py
@@ -36,18 +36,19 @@
 
 class ReleaseCall:
     """The release of what `holder` holds for the request `key`, from `now` on. `doubt`: the holder did not
-    answer."""
+    answer; `urgent`: the rule's time is over, so it is made although a write is out; `states`: how many
+    states the request had been read by then."""
 
-    def __init__(self, key: str, holder: str, zone: str, release_within: int, now: int, doubt: bool):
+    def __init__(self, key: str, holder: str, zone: str, release_within: int, now: int, doubt: bool,
+                 urgent: bool = False, states: int = 0):
         self.key, self.holder, self.zone, self.began, self.doubt = key, holder, zone, now, doubt
         self.within, self.hedge = release_within, max(1, int(HEDGE_SHARE * release_within))
         self.tries, self.relays, self.out = 0, list[str](), set[str]()
         self.next_try: int | None = now
         self.next_relay: int | None = now if doubt else now + self.hedge
         self.passed = self.over = self.lost = False
-        self.urgent = False  # the rule's time is over: it is made whatever is out for the request
         self.heard: Callable[[], None] = lambda: None  # called when an engine has taken it
-        self.states = 0  # how many states the request had been read when it was made
+        self.urgent, self.states = urgent, states
 
     def due(self, now: int, others: Iterable[Known]) -> list[str]:
         """The engines to call now; each call is told back by answered(). `others`: those that take calls."""
--- a/claycross/emulator/drill.py
+++ b/claycross/emulator/drill.py
@@ -19,6 +19,7 @@
 import threading
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Annotated, Literal
@@ -117,6 +118,22 @@
                             "lost with their gateway": sum(a.key in lost for a in answers)})
 
 
+def play_load(file: DrillFile, draw: random.Random, zero: float,
+              moments: list[tuple[float, Callable[[], None]]], one: Callable[[int], None],
+              longest: float) -> None:
+    """Plays what happens at these moments, in seconds since `zero`, with a client in a thread of its own at
+    each arrival; each is waited for at the end, `longest` at most."""
+    at, threads = 0.0, list[threading.Thread]()
+    while (at := at + draw.expovariate(file.rate)) < file.seconds:
+        threads.append(threading.Thread(target=one, args=(len(threads),), daemon=True))
+        moments.append((at, threads[-1].start))
+    for at, call in sorted(moments, key=lambda moment: moment[0]):
+        time.sleep(max(0.0, zero + at - time.monotonic()))
+        call()
+    for thread in threads:
+        thread.join(longest)
+
+
 class Drill:
     words: tuple[str, ...] = ()  # further options of `serve`
 
@@ -316,16 +333,7 @@
         self.zero = time.monotonic()
         self.net.faults, self.net.zero = self.faults(), self.net.loop.now()
         moments = [(t.at_s, lambda t=t: self.strike(t)) for t in f.trouble if not (t.from_ or t.to)]
-        at, n, threads = 0.0, 0, list[threading.Thread]()
-        while (at := at + draw.expovariate(f.rate)) < f.seconds:
-            threads.append(threading.Thread(target=self.one, args=(n, f.seed)))
-            moments.append((at, threads[-1].start))
-            n += 1
-        for at, call in sorted(moments, key=lambda m: m[0]):
-            time.sleep(max(0.0, self.zero + at - time.monotonic()))
-            call()
-        for t in threads:
-            t.join(GIVE_UP + 20)
+        play_load(f, draw, self.zero, moments, lambda n: self.one(n, f.seed), GIVE_UP + 20)
         time.sleep(1.0)
         audit = json.loads(self.ask(self.control, "GET", "/audit")[1])
         dead = [f"g{n}" for n in sorted(self.expected) if self.gateways[n].process.poll() is not None]
--- a/claycross/emulator/fleet.py
+++ b/claycross/emulator/fleet.py
@@ -48,6 +48,14 @@
             self.warm_after_s, self.fall_multiple, self.fall_window_s, self.fall_for_s, self.connections)
 
 
+def plain_fleet(engines: int, output_tokens: int = 120) -> str:
+    """The text of a file with so many engines, half of them readers and half writers, in three zones."""
+    kinds = (f'[[kind]]\nname = "{name}"\nrole = "{role}"\ncount = {engines // 2}\nslots = {slots}\n'
+             for name, role, slots in (("prefill", "read", 8), ("decode", "write", 64)))
+    head = f'zones = ["kigali", "huye", "musanze"]\ncells = 8\noutput_tokens = {output_tokens}\n'
+    return head + "".join(kinds)
+
+
 class Trouble(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
     """`[[trouble]]`: what goes wrong, and when after the start."""
 
--- a/claycross/emulator/soak.py
+++ b/claycross/emulator/soak.py
@@ -27,8 +27,9 @@
 
 from .client import Connection, request
 from .demo import CLASSES
-from .drill import Drill, DrillFile
+from .drill import Drill, DrillFile, play_load
 from .faults import Field, SystemFaults
+from .fleet import plain_fleet
 from .judges import Asked, Bad, Held, Ran, Record, holds, verdict
 from .relay import Fault, Spare
 from .troubles import Kind, Trouble, draw, role
@@ -459,16 +460,7 @@
         threading.Thread(target=self.pace, daemon=True).start()
         moments: list[tuple[float, Callable[[], None]]] = [
             (t.at, lambda t=t: self.strike(t)) for t in self.troubles]
-        at, number, threads = 0.0, 0, list[threading.Thread]()
-        while (at := at + rng.expovariate(file.rate)) < file.seconds:
-            threads.append(threading.Thread(target=self.client, args=(number,), daemon=True))
-            moments.append((at, threads[-1].start))
-            number += 1
-        for at, begin in sorted(moments, key=lambda moment: moment[0]):
-            time.sleep(max(0.0, self.zero + at - time.monotonic()))
-            begin()
-        for thread in threads:
-            thread.join(SPANS[1] + 30)
+        play_load(file, rng, self.zero, moments, self.client, SPANS[1] + 30)
         time.sleep(QUIET)
         self.audit()
         self.end_all()
@@ -524,9 +516,7 @@
 def large_fleet(folder: pathlib.Path) -> pathlib.Path:
     """The file of a fleet with many engines."""
     path = folder / "large-fleet.toml"
-    path.write_text('zones = ["kigali", "huye", "musanze"]\ncells = 8\noutput_tokens = 40\n' + "".join(
-        f'[[kind]]\nname = "{name}"\nrole = "{role}"\ncount = {LARGE_ENGINES // 2}\nslots = {slots}\n'
-        for name, role, slots in (("prefill", "read", 8), ("decode", "write", 64))))
+    path.write_text(plain_fleet(LARGE_ENGINES, output_tokens=40))
     return path
 
 
--- a/claycross/interface.py
+++ b/claycross/interface.py
@@ -191,6 +191,14 @@
     token: str
 
 
+DEADLINE = "end "  # begins the token of a timer that is due at a request's deadline; its number follows
+
+
+def deadline_token(request: int) -> str:
+    """The token of the timer of a request's deadline."""
+    return f"{DEADLINE}{request}"
+
+
 @dataclass(slots=True)
 class ProbeResult:
     """Answer to a probe."""
--- a/claycross/policy.py
+++ b/claycross/policy.py
@@ -20,9 +20,9 @@
 from .decide.prefixes import PrefixTable
 from .decide.rendezvous import rank, tag
 from .interface import (
-    Abandoned, Action, Arrival, Cancel, CheckConnection, ClassSpec, ConnectionChecked, EngineEntry,
+    DEADLINE, Abandoned, Action, Arrival, Cancel, CheckConnection, ClassSpec, ConnectionChecked, EngineEntry,
     EngineList, Event, Fail, Heard, Log, Outcome, Refuse, Release, Send, SetTimer, Settings,
-    Stopping, StreamBegan, Subscribe, Tell, TimerDue)
+    Stopping, StreamBegan, Subscribe, Tell, TimerDue, deadline_token)
 
 MS, SECOND = 1_000_000, 1_000_000_000
 
@@ -195,11 +195,12 @@
 
     def tagged(self, tag: int) -> list[Engine]:
         """The engines that go by this tag among gateways."""
-        tags: dict[int, list[Engine]] = self.health.now_and_then("tags", "", lambda: {})
-        if not tags:
+        def by_tag() -> dict[int, list[Engine]]:
+            found: dict[int, list[Engine]] = {}
             for e in self.health.engines.values():
-                tags.setdefault(self.board.tag(e.id), []).append(e)
-        return tags.get(tag, [])
+                found.setdefault(self.board.tag(e.id), []).append(e)
+            return found
+        return self.health.now_and_then("tags", "", by_tag).get(tag, [])
 
     def drop(self, engine: str) -> list[Engine]:
         if (e := self.health.engines.pop(engine, None)) is None:
@@ -219,7 +220,7 @@
         self.health.count("", self.now)
         self.table.record_arrival(event)
         self.requests[r.id] = self.held[r.id] = r
-        self.acts.append(SetTimer(max(0, r.deadline - self.now), f"end {r.id}"))
+        self.acts.append(SetTimer(max(0, r.deadline - self.now), deadline_token(r.id)))
 
     def find(self, event: StreamBegan | Outcome) -> tuple[Request | None, Attempt | None]:
         """The request and its attempt, if that is still out: ids may be stale, repeated or unknown."""
@@ -270,9 +271,10 @@
     def on_timer(self, event: TimerDue) -> None:
         if event.token == "subscribe":
             self.acts.append(Subscribe())
-        elif (event.token.startswith("end ") and (r := self.requests.get(int(event.token[4:])))
-                and r.stage not in ("streaming", "ended")):
-            self.give_up(r)
+        elif event.token.startswith(DEADLINE):
+            r = self.requests.get(int(event.token.removeprefix(DEADLINE)))
+            if r and r.stage not in ("streaming", "ended"):
+                self.give_up(r)
 
     def on_outcome(self, event: Outcome) -> None:
         r, a = self.find(event)
@@ -383,9 +385,10 @@
         return permits.repeat(r.cls, earlier, e.entry, self.now, self.s.tick) is None
 
     def allowed_somewhere(self, r: Request, engines: Iterable[Engine]) -> bool:
-        if r.cls.effect == "keyed" or not (risky := self.risky(r)):
-            return any(self.allowed(r, e) for e in engines)
-        return not (risky and r.cls.effect == "unsafe") and any(True for _ in engines)
+        """Whether any of them may get it; of one that must not run twice that is known without a walk."""
+        if r.cls.effect == "unsafe" and self.risky(r):
+            return False
+        return any(self.allowed(r, e) for e in engines)
 
     def risky(self, r: Request) -> list[Attempt]:  # those that may have run
         return [a for a in r.attempts if permits.may_have_run(a.reads, a.result)]
