States of interrupted reads are released by their own clock, whatever is in flight

Cause: an obligation to release waited for an action that had only been begun here. reservation_expired returned while a read's bytes had been written, is_stale kept back every call meanwhile, and the read went out without a release of uncertain states. Ruled out: calls made only at silent engines (six others run), a starved process (logs).

Change: requests/reserved_states.py has a record with its own clock for each state that may exist; it replaces the one clock of a request and Request.reserved_at. A clock is restarted by a response of an attempt's engine only; before, a read or write that was given up restarted it, too. A read is sent once acknowledged releases cover all earlier states, at the latest when they are due. When they are due beside a read, they are released, unless the read's engine has responded since it was sent; where probes are permitted it is asked before (GET /-/healthy). At the bound of 4,096 releases those already acknowledged or too late are dropped first.

RELEASE_BEFORE_READ_TIMEOUT (100 ms) is gone, the read waits until the state is due. is_reserved_again served a test only.

--- a/claycross/requests/attempt_checks.py
+++ b/claycross/requests/attempt_checks.py
@@ -92,7 +92,7 @@
             engine=self.directory.endpoints.get(attempt.engine),
             not_after=attempt.not_after,
             now=self.clock.now(),
-            state_held=not attempt.needs_state or request.reservation.state_may_exist(),
+            state_held=not attempt.needs_state or request.states.state_may_exist(),
         )
         denial = preconditions.check_send(facts)
         if denial:
--- a/claycross/requests/manager.py
+++ b/claycross/requests/manager.py
@@ -25,7 +25,7 @@
 from .release_coordinator import ReleaseCoordinator
 from .request_metrics import RequestMetrics
 from .request_registry import RequestRegistry
-from .reservation_timer import ReservationStatus, ReservationTimer
+from .reserved_states import ReservationStatus, ReservedStates
 from .router_driver import RouterDriver
 
 __all__ = ["Attempt", "Request", "RequestManager"]
@@ -60,7 +60,7 @@
         self.registry = RequestRegistry(generator)
         self.requests = self.registry.requests
         self.stops_at = 0  # when a stopping gateway has answered everything; 0: it is not stopping
-        self.metrics = RequestMetrics(settings.classes)
+        self.metrics = RequestMetrics(settings.classes, clock, log)
         self.counts = self.metrics.counts
         self.reply_counts = self.metrics.reply_counts
         self.directory = EndpointDirectory(generator)
@@ -157,7 +157,7 @@
             payload=payload,
             reply=reply,
             deadline=now + arrival.time_left,
-            reservation=ReservationTimer(self.settings.release_within),
+            states=ReservedStates(self.settings.release_within),
             class_name=arrival.class_name,
             prompt_tokens=arrival.prompt_tokens,
             arrived_at=now,
@@ -310,21 +310,11 @@
             attempt.timeout, partial(self.attempt_timed_out, attempt)
         )
         if attempt.is_read:
-            self._start_read(attempt)
+            begin = partial(self.engine_calls.start, attempt)
+            self.state_releases.start_read(attempt, begin)
         else:
             self.engine_calls.start(attempt)
 
-    def _start_read(self, attempt: Attempt) -> None:
-        """Start a read, after the release of the states that earlier reads created."""
-        reserved_at = attempt.request.reserved_at
-        engines = [engine for engine, uncertain in reserved_at.items() if not uncertain]
-        reserved_at[attempt.engine] = reserved_at.get(attempt.engine, False)
-        begin = partial(self.engine_calls.start, attempt)
-        if engines:
-            self.state_releases.release_before_read(attempt, engines, begin)
-        else:
-            begin()
-
     def may_send(self, attempt: Attempt) -> bool:
         """Tell whether the first byte of an attempt may be sent; called right before it is sent."""
         return self.checks.may_send(attempt)
@@ -332,10 +322,8 @@
     def attempt_sent(self, attempt: Attempt) -> None:
         """The last byte of an attempt was sent; a write gets time to arrive before a release."""
         self.metrics.attempts_sent += 1
-        request = attempt.request
-        if not attempt.is_read and request.reservation_timer:
-            due = request.reservation.due_after_send(self.clock.now())
-            self.state_releases.start_reservation_timer(request, due)
+        attempt.sent_at = self.clock.now()
+        self.state_releases.attempt_sent(attempt)
 
     def stream_started(self, attempt: Attempt) -> bool:
         """The first token of an attempt arrived. False: the request no longer waits for it."""
@@ -347,8 +335,7 @@
         attempt.streaming = True
         request.time_to_first_token = now - request.arrived_at
         self.engine_responded(attempt.engine)
-        # With the first token the engines release all states of the request by themselves.
-        self.state_releases.clear_reservations(request)
+        self.state_releases.answer_started(request)
         if attempt.timer:
             attempt.timer.cancel()
         elapsed = now - attempt.started_at
@@ -454,7 +441,7 @@
             self.engine_responded(attempt.engine)
         now = self.clock.now()
         self.metrics.attempt_finished(attempt, cached_tokens, now)
-        state_uncertain = request.reservation.status is ReservationStatus.UNCERTAIN
+        state_uncertain = request.states.status is ReservationStatus.UNCERTAIN
         self.enqueue(
             i.AttemptFinished(
                 request.number,
@@ -469,10 +456,6 @@
             )
         )
 
-    def is_reserved_again(self, key: str, engine: str) -> bool:
-        """Tell whether the request needs its state at the engine again, so it must be kept."""
-        return self.state_releases.is_state_needed_now(key, engine)
-
     def release_state(self, action: i.ReleaseState) -> None:
         """Release the states that engines hold for a request."""
         request = self.requests.get(action.request)
@@ -489,9 +472,17 @@
         # finished requests would stay until a garbage collection or their deadlines.
         if request.deadline_timer:
             request.deadline_timer.cancel()
-        self.state_releases.stop_reservation_timer(request)
+        self.state_releases.stop_timer(request)
+        if request.states.states:
+            self._release_remaining(request)
         request.payload = None
         request.attempts.clear()
-        detail = f"request {request.key} ended with states reserved at {list(request.reserved_at)}"
-        if not invariant(not request.reserved_at, "let-go", detail):
-            self.state_releases.release_request(request)
+
+    def _release_remaining(self, request: Request) -> None:
+        """Release what interrupted reads may have left beside the attempt that was streamed.
+
+        The router releases the states of all other requests before it forgets them.
+        """
+        detail = f"request {request.key} ended with states at {list(request.states.holders())}"
+        invariant(request.streaming_attempt is not None, "let-go", detail)
+        self.state_releases.release_request(request)
--- a/claycross/requests/preconditions.py
+++ b/claycross/requests/preconditions.py
@@ -45,6 +45,16 @@
         AttemptResult.STATE_MISSING,
     )
 )
+# Results that show that the attempt was at an engine that runs, as a response has arrived.
+RESPONSES = frozenset(
+    (
+        AttemptResult.READ,
+        AttemptResult.OK,
+        AttemptResult.ERROR,
+        AttemptResult.ENGINE_FULL,
+        AttemptResult.STATE_MISSING,
+    )
+)
 # Results of attempts to which the engine did not respond.
 NO_RESPONSE = frozenset(
     (
--- a/claycross/requests/records.py
+++ b/claycross/requests/records.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Any
+from typing import Any, NamedTuple
 
 from .. import interface as i
 from .protocols import Reply, ScheduledCall
-from .reservation_timer import ReservationTimer
+from .reserved_states import ReservedStates
 
 
 class RequestEnd(StrEnum):
@@ -37,7 +37,7 @@
     payload: Any  # opaque here; passed on to the engine side
     reply: Reply
     deadline: int
-    reservation: ReservationTimer
+    states: ReservedStates
     class_name: str
     prompt_tokens: int
     arrived_at: int
@@ -45,24 +45,16 @@
     attempts: list[Attempt] = field(default_factory=list)
     finished: bool = False  # terminal: answered, failed, rejected or disconnected
     streaming_attempt: Attempt | None = None  # the attempt whose output the client receives
-    # Engine that may hold a state -> whether that is uncertain, as a read there was interrupted.
-    reserved_at: dict[str, bool] = field(default_factory=dict)
     # A write was abandoned; its engine may keep waiting for the state until it notices that.
     write_abandoned: bool = False
     unreported_attempts: int = 0  # attempts whose result was not reported to the router yet
     deadline_timer: ScheduledCall | None = None
-    reservation_timer: ScheduledCall | None = None
+    release_timer: ScheduledCall | None = None  # when its states have to be released
+    waiting_read: WaitingRead | None = None
 
-    def read_in_flight(self) -> bool:
-        """Tell whether a read may be at an engine; a release then would hit its state as well."""
-        return any(
-            attempt.is_read and not attempt.finished and not attempt.connecting()
-            for attempt in self.attempts
-        )
-
-    def attempt_in_flight(self) -> bool:
-        """Tell whether any attempt may be at an engine."""
-        return any(not attempt.finished and not attempt.connecting() for attempt in self.attempts)
+    def attempts_in_flight(self) -> list[Attempt]:
+        """Return the attempts that may be at engines."""
+        return [attempt for attempt in self.attempts if attempt.in_flight()]
 
     def is_decided(self) -> bool:
         """Tell whether it has finished or streams its answer, so that no other can be sent."""
@@ -85,6 +77,7 @@
     endpoint: i.EngineEndpoint | None  # of its engine, as listed when the attempt started
     needs_state: bool  # its engine can't read, so it needs the state of an earlier read
     timer: ScheduledCall | None = None
+    sent_at: int = 0  # when its last byte was written; 0: not yet
     finished: bool = False
     streaming: bool = False
     result: str = ""  # an `AttemptResult` once it has finished
@@ -95,3 +88,14 @@
     def connecting(self) -> bool:
         """Tell whether its engine can't have received any part of it yet."""
         return not self.finished and not self.streaming and self.abort is None
+
+    def in_flight(self) -> bool:
+        """Tell whether its engine may have received a part of it, and it has not finished."""
+        return not self.finished and not self.connecting()
+
+
+class WaitingRead(NamedTuple):
+    """A read that waits until earlier states have been released."""
+
+    attempt: Attempt
+    start: Callable[[], None]
--- a/claycross/requests/release_coordinator.py
+++ b/claycross/requests/release_coordinator.py
@@ -2,8 +2,9 @@
 
 A read creates a state at its engine, which reserves it for the write that follows. If no write
 follows, the engine has to be asked to release it within a time given by the settings. The
-coordinator owns the releases in flight and the timers of reservations. state_release.py decides
-which engines are called and when; reservation_timer.py computes when a reservation expires.
+coordinator owns the releases in flight, the timers of reservations and the reads that wait for a
+release. reserved_states.py records which states may exist and computes when they have to be
+released; state_release.py decides which engines are called and when.
 """
 
 from __future__ import annotations
@@ -17,18 +18,18 @@
 from .endpoint_directory import EndpointDirectory
 from .engine_protocol import EngineCalls
 from .protocols import Clock, ScheduledCall
-from .records import Attempt, Request
+from .records import Attempt, Request, WaitingRead
 from .request_metrics import RequestMetrics
+from .reserved_states import ABANDONED_RESULTS
 from .state_release import StateRelease
 
 MS = 1_000_000  # ns
-# The longest that a read waits until the state of an earlier read has been released.
-RELEASE_BEFORE_READ_TIMEOUT_NS = 100 * MS
-# An uncertain state is released a second time after this delay, as the interrupted read may have
-# completed while the first release call was in flight.
-SECOND_RELEASE_DELAY_NS = 60 * MS
-# Results of attempts that this gateway abandoned.
-ABANDONED_RESULTS = frozenset((i.AttemptResult.CANCELLED, i.AttemptResult.TIMEOUT))
+# The end of a request repeats its releases once an abandoned write does not wait for its state any
+# longer at its engine, which ignores the first one.
+REPEATED_RELEASE_DELAY_NS = 60 * MS
+# Before states are due beside a read in flight, its engine is sent health checks, these shares of
+# the release time earlier. While it runs, the states need not be released.
+HEALTH_CHECK_SHARES = (0.7, 0.4)
 MAX_RELEASES_IN_FLIGHT = 4096  # bounds the memory
 
 
@@ -45,127 +46,214 @@
     engine_calls: EngineCalls = field(init=False)  # set once the engine side is built
     # Release in flight -> the timer of its next calls, if one is set.
     releases: dict[StateRelease, ScheduledCall | None] = field(init=False, default_factory=dict)
+    # (key, holder) -> the release in flight that was started last.
+    latest: dict[tuple[str, str], StateRelease] = field(init=False, default_factory=dict)
 
     # ------------------------------------------------------------ reservations
 
     def attempt_finished(self, attempt: Attempt) -> None:
-        """Update which engines hold states for the request by the result of an attempt."""
+        """Update which engines may hold states for the request by the result of an attempt."""
         request = attempt.request
         result = attempt.result
-        reserved_at = request.reserved_at
+        states = request.states
+        now = self.clock.now()
         if attempt.is_read:
-            if result in preconditions.NO_STATE_LEFT:
-                reserved_at.pop(attempt.engine, None)
-            elif result != i.AttemptResult.READ and attempt.engine in reserved_at:
-                reserved_at[attempt.engine] = True
-        elif result in ABANDONED_RESULTS and not attempt.streaming:
-            request.write_abandoned = True
-        if result not in preconditions.NOT_SENT:
-            request.reservation.restart(self.clock.now())
-        if result == i.AttemptResult.READ:
-            request.reservation.state_created()
-        self.start_reservation_timer(request)
+            states.read_ended(attempt.engine, result, now)
+        else:
+            states.write_ended(now)
+            if result in ABANDONED_RESULTS and not attempt.streaming:
+                request.write_abandoned = True
+        if result in preconditions.RESPONSES:
+            states.attempt_responded(now)
+        self.start_timer(request)
+
+    def answer_started(self, request: Request) -> None:
+        """Record the first token of the answer: the engines have released all states by now."""
+        request.states.answer_started(self.clock.now())
+        self.stop_timer(request)
 
     def release_request(self, request: Request) -> None:
         """Release the state at every engine that may hold one for the request.
 
-        Where that is uncertain, an engine is asked twice: an interrupted read may have completed
-        after the first call, and an engine ignores that call while an abandoned write still waits
-        for the state. Both releases are in flight from now on, so that a stopping gateway waits
-        for both.
+        If the request is over, the releases are repeated, and all of them are in flight from now
+        on, so that a stopping gateway waits for them. If it goes on, its states stay on record
+        until a release is acknowledged.
         """
-        for engine, uncertain in request.reserved_at.items():
-            self.advance(self.create(engine, request.key, uncertain))
-            if uncertain or request.write_abandoned:
-                self.schedule(
-                    self.create(engine, request.key, uncertain, delay=SECOND_RELEASE_DELAY_NS)
-                )
-        self.clear_reservations(request)
-
-    def release_before_read(
-        self, attempt: Attempt, engines: list[str], start_read: Callable[[], None]
-    ) -> None:
-        """Release the states of earlier reads, then start the read.
+        now = self.clock.now()
+        for engine, may_be_silent in request.states.holders().items():
+            self.start(engine, request.key, may_be_silent)
+            if not request.finished:
+                continue
+            for delay in self._repetitions(request, engine, now):
+                self.schedule(self.create(engine, request.key, may_be_silent, delay=delay))
+        if request.finished:
+            request.states.clear()
+            self.stop_timer(request)
+
+    def _repetitions(self, request: Request, engine: str, now: int) -> list[int]:
+        """Return after which times the release of a request that is over is repeated."""
+        delays = [REPEATED_RELEASE_DELAY_NS] if request.write_abandoned else []
+        late_release_delay = request.states.late_release_delay(engine, now)
+        if late_release_delay is not None:
+            delays.append(late_release_delay)
+        return delays
+
+    def start_read(self, attempt: Attempt, start: Callable[[], None]) -> None:
+        """Start a read once releases cover all states that earlier reads may have left.
 
         A release during the read would also apply to the state that the read creates. A release
-        after the read might be late, as the read may never arrive while the reservation expires.
-        The read waits for RELEASE_BEFORE_READ_TIMEOUT_NS at most.
+        after the read might be late, as the read may never arrive while its engine is silent. If no
+        engine acknowledges a release until the states are due, the read starts nevertheless, and
+        the releases go on beside it.
         """
-        pending = set(engines)
-        started = False
-
-        def start_once() -> None:
-            nonlocal started
-            timer.cancel()
-            if not started and not attempt.finished:
-                started = True
-                start_read()
-
-        def released(engine: str) -> None:
-            if engine != attempt.engine:
-                attempt.request.reserved_at.pop(engine, None)
-            pending.discard(engine)
-            if not pending:
-                start_once()
-
-        timer = self.clock.call_later(RELEASE_BEFORE_READ_TIMEOUT_NS, start_once)
-        for engine in engines:
-            release = self.create(engine, attempt.request.key, uncertain=False, urgent=True)
-            release.on_acknowledged = partial(released, engine)
-            self.advance(release)
-
-    def clear_reservations(self, request: Request) -> None:
-        """Record that no state is reserved for the request, except those being released."""
-        request.reserved_at.clear()
-        self.stop_reservation_timer(request)
-
-    def stop_reservation_timer(self, request: Request) -> None:
-        """Cancel the timer of the request's reservation."""
-        if request.reservation_timer:
-            request.reservation_timer.cancel()
-            request.reservation_timer = None
-
-    def start_reservation_timer(self, request: Request, due: int = 0) -> None:
-        """Set the timer of the request's reservation; `due`: when it expires, 0: by its record."""
-        self.stop_reservation_timer(request)
-        if not request.reserved_at or request.is_decided():
+        request = attempt.request
+        holders = request.states.uncovered_holders()
+        if not holders:
+            start()
+            return
+        request.waiting_read = WaitingRead(attempt, start)
+        for engine, may_be_silent in holders.items():
+            self.start(engine, request.key, may_be_silent, urgent=True)
+        self.start_timer(request)
+
+    def _start_waiting_read(self, request: Request) -> None:
+        """Start the read that waits for releases, if there is one that is still wanted."""
+        waiting = request.waiting_read
+        request.waiting_read = None
+        if waiting and not waiting.attempt.finished:
+            waiting.start()
+
+    def stop_timer(self, request: Request) -> None:
+        """Cancel the timer of the request's states."""
+        if request.release_timer:
+            request.release_timer.cancel()
+            request.release_timer = None
+
+    def start_timer(self, request: Request, due: int | None = None) -> None:
+        """Set the timer of the request's states; `due`: when it expires, None: by their records.
+
+        While an answer is streamed, its attempt is at a running engine and no state is due.
+        """
+        self.stop_timer(request)
+        if request.streaming_attempt:
+            return
+        if due is None:
+            due = request.states.due()
+        if due is None:
+            return
+        now = self.clock.now()
+        wake_at = due
+        if self._may_check_health(request):
+            wake_at = next((at for at in self._health_check_times(due) if at > now), due)
+        wait = max(0, wake_at - now)
+        request.release_timer = self.clock.call_later(wait, partial(self._wake, request, due))
+
+    def _health_check_times(self, due: int) -> list[int]:
+        """Return when the engines of reads in flight are checked before states are due."""
+        return [due - int(share * self.settings.release_within) for share in HEALTH_CHECK_SHARES]
+
+    def _wake(self, request: Request, due: int) -> None:
+        """Check the engines of reads in flight, or release the states that are due."""
+        request.release_timer = None
+        self._note_running_reads(request)
+        now = self.clock.now()
+        if now >= due:
+            self.states_due(request)
+        elif self._was_postponed(request, due):
+            self.start_timer(request)
+        else:
+            self._check_health(request, now)
+            self.start_timer(request, due)
+
+    def _was_postponed(self, request: Request, due: int) -> bool:
+        """Tell whether the clocks were restarted since the timer was set for this time."""
+        present = request.states.due()
+        return present is None or present > due
+
+    def attempt_sent(self, attempt: Attempt) -> None:
+        """Give a write whose last byte was sent time to arrive before its state is released."""
+        request = attempt.request
+        if not request.release_timer:
             return
-        wait = max(0, (due or request.reservation.due()) - self.clock.now())
-        request.reservation_timer = self.clock.call_later(
-            wait, partial(self.reservation_expired, request)
+        due = None if attempt.is_read else request.states.due_after_send(self.clock.now())
+        self.start_timer(request, due)
+
+    def _may_check_health(self, request: Request) -> bool:
+        """Tell whether a response of the engine of a read in flight could postpone releases."""
+        return (
+            self.settings.may_check_health
+            and not request.states.uncovered_holders()
+            and any(attempt.is_read and attempt.sent_at for attempt in request.attempts_in_flight())
         )
 
-    def reservation_expired(self, request: Request) -> None:
-        """Release the states of a request whose reservation has expired.
-
-        The engines stay in `reserved_at`: one with a write that waits for the state ignores the
-        release, and is asked again when the request ends.
+    def _check_health(self, request: Request, now: int) -> None:
+        """Send health checks to the engines of reads in flight."""
+        for attempt in request.attempts_in_flight():
+            if attempt.is_read:
+                self.metrics.count("health-check")
+                responded = partial(self._health_check_answered, attempt, now)
+                self.engine_calls.check_health(attempt.engine, responded)
+
+    def _health_check_answered(self, attempt: Attempt, sent_at: int) -> None:
+        """Restart the clocks if the read is still in flight: its engine ran after this time."""
+        self.directory.engine_responded(attempt.engine, self.clock.now())
+        if attempt.in_flight():
+            attempt.request.states.attempt_seen_running(sent_at)
+            self.start_timer(attempt.request)
+
+    def _note_running_reads(self, request: Request) -> None:
+        """Record the latest response of the engine of each read in flight since it was sent."""
+        for attempt in request.attempts_in_flight():
+            if attempt.is_read and attempt.sent_at:
+                responded_at = self.directory.last_response.get(attempt.engine, 0)
+                if responded_at > attempt.sent_at:
+                    request.states.attempt_seen_running(responded_at)
+
+    def states_due(self, request: Request) -> None:
+        """Release the states of a request whose time is over, whatever attempt is in flight.
+
+        A write that has arrived is not affected. A read that has completed meanwhile loses its
+        state, and the write that follows is rejected as never run.
         """
-        request.reservation_timer = None
-        if request.is_decided() or not request.reserved_at or request.read_in_flight():
+        states = request.states
+        now = self.clock.now()
+        due, due_while_connecting = states.due(), states.due_while_connecting()
+        if due is None or due_while_connecting is None:
+            return
+        if now < due and any(attempt.is_read for attempt in request.attempts_in_flight()):
+            self.start_timer(request)
             return
-        due_while_connecting = request.reservation.due_while_connecting()
         write_connecting = any(
             attempt.connecting() and not attempt.is_read for attempt in request.attempts
         )
-        if write_connecting and self.clock.now() < due_while_connecting:
-            self.start_reservation_timer(request, due_while_connecting)
+        if write_connecting and now < due_while_connecting:
+            self.start_timer(request, due_while_connecting)
             return
-        request.reservation.mark_released(write_in_flight=request.attempt_in_flight())
-        self.metrics.reservation_expired(request, self.clock.now())
-        for engine, uncertain in list(request.reserved_at.items()):
-            self.advance(self.create(engine, request.key, uncertain, urgent=True))
+        self.metrics.states_due(request, self.directory.last_response, now)
+        states.expire(now, bool(request.attempts_in_flight()))
+        for engine, may_be_silent in states.holders().items():
+            self.start(engine, request.key, may_be_silent, urgent=True)
+        self._start_waiting_read(request)
+        self.start_timer(request)
 
     # ------------------------------------------------------------ releases
 
+    def start(self, engine: str, key: str, may_be_silent: bool, *, urgent: bool = False) -> None:
+        """Start a release, in place of an earlier one of the same state."""
+        previous = self.latest.get((key, engine))
+        if previous:
+            self.end(previous)
+        release = self.create(engine, key, may_be_silent, urgent=urgent)
+        self.latest[key, engine] = release
+        self.advance(release)
+
     def create(
-        self, engine: str, key: str, uncertain: bool, *, delay: int = 0, urgent: bool = False
+        self, engine: str, key: str, may_be_silent: bool, *, delay: int = 0, urgent: bool = False
     ) -> StateRelease:
         """Create a release of the state that the engine holds for the request with this key."""
         endpoint = self.directory.endpoints.get(engine)
         while len(self.releases) >= MAX_RELEASES_IN_FLIGHT:
-            self.metrics.count("release-dropped")
-            self.end(next(iter(self.releases)))
+            self._drop_one()
         request = self.find_request(key)
         release = StateRelease(
             key,
@@ -173,19 +261,31 @@
             endpoint.zone if endpoint else "",
             self.settings.release_within,
             self.clock.now() + delay,
-            uncertain,
+            may_be_silent,
             urgent,
-            request.reservation.state_count if request else 0,
+            request.states.state_count if request else 0,
         )
         self.releases[release] = None
         return release
 
+    def _drop_one(self) -> None:
+        """End the oldest release that has been acknowledged or is too late, or else the oldest."""
+        now = self.clock.now()
+        settled = (release for release in self.releases if not release.is_pending(now))
+        dropped = next(settled, None)
+        if dropped is None:
+            self.metrics.count("release-dropped")
+            dropped = next(iter(self.releases))
+        self.end(dropped)
+
     def end(self, release: StateRelease) -> None:
         """End a release: no further call is made for it."""
         release.finished = True
         timer = self.releases.pop(release, None)
         if timer:
             timer.cancel()
+        if self.latest.get((release.key, release.engine)) is release:
+            del self.latest[release.key, release.engine]
 
     def advance(self, release: StateRelease) -> None:
         """Make the calls that are due now, and set the timer for the next ones."""
@@ -205,8 +305,8 @@
             self.releases[release] = self.clock.call_later(wait, partial(self.resume, release))
 
     def resume(self, release: StateRelease) -> None:
-        """Continue a release, or end it if the request has been read again and needs its state."""
-        if not release.finished and self.is_state_needed(release):
+        """Continue a release, or end it if its calls would hit a state that the request needs."""
+        if not release.finished and self.is_stale(release):
             self.end(release)
             return
         self.advance(release)
@@ -230,16 +330,16 @@
         if self.metrics.trace:
             self.metrics.trace(
                 f"release-call request={release.key} holder={release.engine} at={engine} "
-                f"heard={acknowledged} doubt={release.uncertain} "
+                f"heard={acknowledged} doubt={release.may_be_silent} "
                 f"ms={(now - called_at) / MS:.1f} since_ms={(now - release.first_call_at) / MS:.1f}"
             )
-        if release.finished:
-            return
         if acknowledged:
             self.directory.engine_responded(engine, now)
-            release.on_acknowledged()
+            self._acknowledged(release.key, engine, called_at)
+        if release.finished:
+            return
         is_listed = release.engine in self.directory.endpoints
-        release.call_finished(engine, acknowledged, self.clock.now(), is_listed)
+        release.call_finished(engine, acknowledged, now, is_listed)
         if release.failed:
             self.log(
                 f"release-failed engine={release.engine} request={release.key} "
@@ -247,59 +347,52 @@
             )
         if release.finished:
             self.end(release)
+            if not is_listed:
+                self._holder_removed(release)
         elif not acknowledged:
             self.resume(release)
 
-    def is_state_needed(self, release: StateRelease) -> bool:
-        """Tell whether a release that continues now would hit a state that the request needs.
-
-        A call releases the request's states at all engines. This keeps repeated calls of a release
-        from hitting the state of a later read; after the first token the engines have released
-        everything. An attempt that is still connecting holds no state, and the reservation keeps
-        running meanwhile. An urgent release does not wait for a write in flight.
-        """
-        request = self.find_request(release.key)
-        if not request or request.finished:
-            return False
-        if not self.would_release_needed_state(request, release):
-            if release.urgent:
-                return False
-            connecting = {attempt.engine for attempt in request.attempts if attempt.connecting()}
-            if not request.reserved_at.keys() - connecting:
-                return False
-        if not request.streaming_attempt and release.engine not in request.reserved_at:
-            request.reserved_at[release.engine] = True  # released when the request ends
-            self.start_reservation_timer(request)
-        return True
-
-    def is_state_needed_now(self, key: str, engine: str) -> bool:
-        """Tell the same of a release at this engine that would be created now."""
+    def _acknowledged(self, key: str, engine: str, called_at: int) -> None:
+        """Update the states of the request that was released, and start a waiting read."""
         request = self.find_request(key)
-        release = StateRelease(
-            key=key,
-            engine=engine,
-            zone="",
-            release_within=self.settings.release_within,
-            first_call_at=self.clock.now(),
-            uncertain=True,
-            state_count=request.reservation.state_count if request else 0,
+        if not request:
+            return
+        write_in_flight = any(not attempt.is_read for attempt in request.attempts_in_flight())
+        request.states.release_acknowledged(
+            engine, called_at, self.clock.now(), write_in_flight=write_in_flight
         )
-        return self.is_state_needed(release)
+        self._states_changed(request)
+
+    def _holder_removed(self, release: StateRelease) -> None:
+        request = self.find_request(release.key)
+        if request:
+            request.states.holder_removed(release.engine)
+            self._states_changed(request)
+
+    def _states_changed(self, request: Request) -> None:
+        """Start a read that has waited for this, and set the timer by the present records."""
+        if request.waiting_read and not request.states.uncovered_holders():
+            for engine in request.states.holders():
+                release = self.latest.get((request.key, engine))
+                if release:
+                    self.end(release)  # its next calls would hit the state of the read
+            self._start_waiting_read(request)
+        self.start_timer(request)
 
     def is_stale(self, release: StateRelease) -> bool:
-        """Tell whether a call that is written now would hit a newer state of the request."""
+        """Tell whether a call that is made now would hit a state that the request needs.
+
+        A call releases the request's states at all engines. This keeps repeated calls of a release
+        from hitting the state of a later read; after the first token the engines have released
+        everything. A release that is due is made in spite of an attempt in flight. The states that
+        it is for stay on record with a clock of their own.
+        """
         request = self.find_request(release.key)
         if not request or request.finished:
             return False
-        return self.would_release_needed_state(request, release)
-
-    def would_release_needed_state(self, request: Request, release: StateRelease) -> bool:
-        """Tell whether the request has a newer state than the release is for, or needs this one."""
-        if request.streaming_attempt or request.reservation.state_count > release.state_count:
-            return True
-        if request.read_in_flight():
+        if request.streaming_attempt or request.states.state_count > release.state_count:
             return True
-        return not release.urgent and request.attempt_in_flight()
+        return not release.urgent and bool(request.attempts_in_flight())
 
     def pending(self) -> int:
         """Return how many releases a stopping gateway has to wait for."""
--- a/claycross/requests/request_metrics.py
+++ b/claycross/requests/request_metrics.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from enum import StrEnum
 
 from .. import interface as i
 from .preconditions import Denial
+from .protocols import Clock
 from .records import Attempt, Request, RequestEnd
 
 MS = 1_000_000  # ns
+SECOND = 1_000_000_000  # ns
+MAX_LINES_PER_S = 10  # of states whose time is over
 
 
 class ReplyStatus(StrEnum):
@@ -31,11 +34,39 @@
 }
 
 
+class RateLimiter:
+    """Admits a number of log lines a second and counts those that are suppressed."""
+
+    def __init__(self, lines_per_s: int) -> None:
+        self.lines_per_s = lines_per_s
+        self.window_started_at = 0
+        self.lines = 0  # in the present second
+        self.suppressed = 0  # since the last admitted line
+
+    def admit(self, now: int) -> int | None:
+        """Return how many lines were suppressed since the last one; None: suppress this one."""
+        if now - self.window_started_at >= SECOND:
+            self.window_started_at = now
+            self.lines = 0
+        if self.lines >= self.lines_per_s:
+            self.suppressed += 1
+            return None
+        self.lines += 1
+        suppressed = self.suppressed
+        self.suppressed = 0
+        return suppressed
+
+
 class RequestMetrics:
     """Counts and traces the outcomes of requests and attempts since the start of the process."""
 
-    def __init__(self, classes: dict[str, i.RequestClass]) -> None:
+    def __init__(
+        self, classes: dict[str, i.RequestClass], clock: Clock, log: Callable[[str], None]
+    ) -> None:
         self.classes = classes
+        self.clock = clock
+        self.log = log
+        self.log_limiter = RateLimiter(MAX_LINES_PER_S)
         self.counts: dict[str, int] = {}
         self.reply_counts: dict[tuple[str, str], int] = {}  # (class, status) -> requests
         self.attempts_sent = 0  # attempts that were completely written to engines
@@ -108,13 +139,36 @@
                 f"claimed={claimed} prompt={request.prompt_tokens}"
             )
 
-    def reservation_expired(self, request: Request, now: int) -> None:
-        """Count and trace that a reserved state is released because its reservation expired."""
+    def states_due(self, request: Request, last_response: Mapping[str, int], now: int) -> None:
+        """Count that states are released because their time is over, and log each of them.
+
+        `last_response`: when each engine last responded to this gateway.
+        """
         self.count("hold-due")
-        if self.trace:
-            self.trace(
-                f"reservation-expired request={request.key} "
-                f"holders={','.join(request.reserved_at)} "
-                f"status={request.reservation.status.name} "
-                f"since_ms={(now - request.reservation.last_result_at) / MS:.1f}"
+        in_flight = ",".join(
+            f"{'read' if attempt.is_read else 'write'}@{attempt.engine}:"
+            f"{_age(attempt.sent_at, now)}:{_age(last_response.get(attempt.engine), now)}"
+            for attempt in request.attempts_in_flight()
+        )
+        for state in request.states.states:
+            self.log_limited(
+                f"state-due request={request.key} engine={state.engine} "
+                f"read={state.result} age_ms={(now - state.read_ended_at) / MS:.0f} "
+                f"released_ms={_age(state.covered_at, now)} "
+                f"holder_response_ms={_age(last_response.get(state.engine), now)} "
+                f"status={request.states.status.name} in_flight={in_flight or 'none'}"
             )
+
+    def log_limited(self, line: str) -> None:
+        """Log a line unless there were too many of this kind in the last second."""
+        suppressed = self.log_limiter.admit(self.clock.now())
+        if suppressed is None:
+            return
+        if suppressed:
+            line = f"{line} suppressed={suppressed}"
+        self.log(line)
+
+
+def _age(at: int | None, now: int) -> str:
+    """Format the time since then in ms; `never` for 0 and None."""
+    return f"{(now - at) / MS:.0f}" if at else "never"
--- a/claycross/requests/state_release.py
+++ b/claycross/requests/state_release.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import NamedTuple
@@ -40,10 +40,6 @@
     last_response: int  # when it last responded to this gateway; 0: never
 
 
-def _do_nothing() -> None:
-    """The default of `StateRelease.on_acknowledged`."""
-
-
 @dataclass(eq=False, slots=True)
 class StateRelease:
     """The release of the state that one engine, the holder, has reserved for one request."""
@@ -53,26 +49,25 @@
     zone: str  # of the holder
     release_within: int  # the time within which the state has to be released
     first_call_at: int  # when the first call is due
-    uncertain: bool  # the holder did not respond, so it may hold no state
-    urgent: bool = False  # the reservation has expired: release even with a write in flight
+    may_be_silent: bool  # the holder did not respond to the read
+    urgent: bool = False  # the state is due: release even with an attempt in flight
     state_count: int = 0  # states created for the request before this release
     holder_calls: int = 0  # calls to the holder
     relays: list[str] = field(default_factory=list)  # engines that were asked to relay
     relayed: bool = False  # a relay has acknowledged
     finished: bool = False
     failed: bool = False  # finished without an acknowledgement of any engine
-    on_acknowledged: Callable[[], None] = _do_nothing  # called when an engine has acknowledged
     relay_delay: int = field(init=False)  # between the calls to relays
     # When the holder is called next; None: a call to it is in flight.
     next_holder_call: int | None = field(init=False)
     next_relay_call: int | None = field(init=False)  # when the next relay is called; None: no more
 
     def __post_init__(self) -> None:
-        """Set when the first calls are due; an uncertain release calls a relay at once, too."""
+        """Set when the first calls are due; a holder that may be silent is not waited for."""
         self.relay_delay = max(1, int(RELAY_DELAY_SHARE * self.release_within))
         self.next_holder_call = self.first_call_at
         self.next_relay_call = (
-            self.first_call_at if self.uncertain else self.first_call_at + self.relay_delay
+            self.first_call_at if self.may_be_silent else self.first_call_at + self.relay_delay
         )
 
     def next_calls(self, now: int, candidates: Iterable[RelayCandidate]) -> list[str]:
