Soak: responses lost while a role hangs, cases of each rule, order of arrivals as the excuse

Each run now has a storm in which gateways of one zone lose the responses of all engines while four in five engines of a role hang; each rule's line has the number of its cases (for held states: those left by reads that another read followed). The rule on held states excused every read behind a cut that was given up; now only one that arrived after a later attempt of its request, or behind a cut after the request was over.

--- a/claycross/emulator/fault_plan.py
+++ b/claycross/emulator/fault_plan.py
@@ -16,6 +16,7 @@
     4.0,
     3.0,
 )  # seconds; the last one so long before the load's end
+PAIRED_STORM = 3.2  # seconds; the storm that each run has
 OVERLAP = 0.8  # seconds within which the troubles of a storm begin
 MOST_OUT = 3  # engines drained, killed or replaced in a run, of a role at most
 SERIES = 4  # of signals, by number
@@ -48,6 +49,9 @@
     ROLE_HANGS = "role-hangs"  # four in five engines of a role stand still, three times
     CUT = "cut"  # between the gateways of a zone and the engines of another
     RESET = "reset"  # of connections between them
+    # Engines of a zone process requests of gateways of another; the responses are lost and the
+    # connections reset.
+    RESPONSE_LOST = "response-lost"
 
 
 # Troubles at gateways: each storm has them at different ones.
@@ -65,6 +69,7 @@
     FaultKind.BAN,
     FaultKind.DRAIN_GATEWAY,
 )
+RANDOM_KINDS = [kind for kind in FaultKind if kind is not FaultKind.RESPONSE_LOST]
 ENGINES = (
     FaultKind.ENGINE_DRAIN,
     FaultKind.ENGINE_RESTART,
@@ -84,6 +89,7 @@
     FaultKind.STALL: (0.5, 3.0),
     FaultKind.CUT: (0.5, 2.5),
     FaultKind.RESET: (0.2, 1.0),
+    FaultKind.RESPONSE_LOST: (0.3, 1.5),
     FaultKind.KILL: (0.05, 0.6),
 }
 
@@ -118,12 +124,13 @@
     seed: int, seconds: float, gateways: int, engines: list[str], zones: tuple[str, ...]
 ) -> list[PlannedFault]:
     """All troubles of a run, in time. `engines`: names such as "prefill-3"."""
-    rng, troubles, spent = random.Random(f"troubles {seed}"), [], dict[str, set[str]]()
+    rng, spent = random.Random(f"troubles {seed}"), dict[str, set[str]]()
+    troubles = paired_storm(random.Random(f"paired storm {seed}"), engines, zones)
     at = FIRST_STORM
     while at < seconds - LAST_STORM:
         free = list(range(gateways))
         rng.shuffle(free)
-        for kind in rng.sample(list(FaultKind), rng.choice((2, 3, 3))):
+        for kind in rng.sample(RANDOM_KINDS, rng.choice((2, 3, 3))):
             begin = at + rng.uniform(0, OVERLAP)
             span = round(rng.uniform(*SPANS[kind]), 2) if kind in SPANS else 0.0
             if kind in GATEWAYS:
@@ -156,6 +163,25 @@
     return sorted(troubles, key=lambda t: t.at)
 
 
+def paired_storm(
+    rng: random.Random, engines: list[str], zones: tuple[str, ...]
+) -> list[PlannedFault]:
+    """Lose responses while most engines of a role hang, so that the next attempts reach nobody.
+
+    The gateways of one zone lose the responses of all zones in turn, so also those of engines that
+    run.
+    """
+    role = rng.choice(sorted({role_of(engine) for engine in engines}))
+    hang_span = round(rng.uniform(*SPANS[FaultKind.ROLE_HANGS]), 2)
+    storm = [PlannedFault(PAIRED_STORM, FaultKind.ROLE_HANGS, hang_span, engine=role)]
+    gateway_zone = rng.choice(zones)
+    for number, zone in enumerate(rng.sample(zones, len(zones))):
+        begin = PAIRED_STORM + number * OVERLAP
+        span = round(rng.uniform(*SPANS[FaultKind.RESPONSE_LOST]), 2)
+        storm.append(PlannedFault(begin, FaultKind.RESPONSE_LOST, span, zones=(gateway_zone, zone)))
+    return storm
+
+
 def pick_engine(rng: random.Random, engines: list[str], spent: dict[str, set[str]]) -> str:
     """One that no trouble had before; none once a role has had MOST_OUT."""
     fit = [
--- a/claycross/emulator/fault_proxy.py
+++ b/claycross/emulator/fault_proxy.py
@@ -36,7 +36,7 @@
     (seconds).
     """
 
-    do: str  # "cut", "reset", "refuse", "delay", "loss", "double"
+    do: str  # "cut", "reset", "refuse", "delay", "loss", "double", "swallow"
     from_: frozenset[str]
     to: frozenset[str]
     begin: float
@@ -171,6 +171,9 @@
                     self.loop.sleep(LOOK)
                 if self.holds("reset", source, target):
                     return reset(to)
+                if data and self.holds("swallow", source, target):
+                    reset(conn)
+                    return reset(to)
                 if wait := self.delay(source, target):
                     self.loop.sleep(wait)
                 if (f := self.holds("loss", source, target)) and self.draw.random() < f.share:
--- a/claycross/emulator/invariant_checkers.py
+++ b/claycross/emulator/invariant_checkers.py
@@ -17,7 +17,7 @@
 LATE_WITHIN = 0.5
 CUT_ENDS = 0.5  # after a cut, until what was held back has come
 NEVER_RAN = ("", "full", "stateless")  # ends of an attempt at a writer that was turned away
-GIVEN_UP = "gone"  # end of an attempt whose connection had been closed
+READ_ROLE = "read"
 HELD_WITHIN = 0.3 + 0.3 + 0.05  # of the settings, of wires, and of the protocol's page
 PASSED_ON_WITHIN = 0.3
 BAD_CLIENT_WITHIN = 3.0
@@ -244,11 +244,24 @@
     return (at, state.until) if state.until - at > longest[1] - longest[0] else longest
 
 
+def overtaken(
+    record: RunRecord, attempt: EngineAttempt, these: Iterable[EngineAttempt], over_at: float
+) -> bool:
+    """Whether an attempt arrived after a later one of its request, or after the request was over.
+
+    A later attempt is told less time. No gateway can know of an attempt that a proxy held back so
+    long that it had given it up. `over_at`: when the client was done with the request; 0: unknown.
+    """
+    if over_at and attempt.arrived > over_at and held_back(record, attempt):
+        return True
+    return any(other.told < attempt.told and other.arrived < attempt.arrived for other in these)
+
+
 def states_used_or_released_in_time(record: RunRecord) -> list[str]:
     """A state is taken by an attempt that has arrived, or let go, in its time, but where its
-    gateway was killed or stopped, and where its read had been given up and a relay still delivered
-    it after a cut.
+    gateway was killed or stopped, and where a proxy delivered its read after a later attempt.
     """
+    closed = {a.key: a.closed for a in record.client_requests}
     excused = {a.key for a in record.client_requests if a.excused}
     by_key: dict[str, list[EngineAttempt]] = {}
     for r in record.engine_attempts:
@@ -256,9 +269,8 @@
     found = []
     for state in record.reserved_states:
         these = by_key.get(state.key, ())
-        if any(
-            r.engine == state.engine and r.end == GIVEN_UP and held_back(record, r) for r in these
-        ):
+        over_at = closed.get(state.key, 0.0)
+        if any(r.engine == state.engine and overtaken(record, r, these, over_at) for r in these):
             continue
         begin, end = unused(state, these)
         if state.key not in excused and end - begin > HELD_WITHIN + record.lag(begin, end):
@@ -344,6 +356,47 @@
     return found
 
 
+def interrupted_reads(record: RunRecord) -> int:
+    """How many states were left by reads whose response did not arrive at their gateway."""
+    attempts: dict[str, list[EngineAttempt]] = {}
+    for attempt in record.engine_attempts:
+        attempts.setdefault(attempt.key, []).append(attempt)
+    count = 0
+    for state in record.reserved_states:
+        later = [r for r in attempts.get(state.key, ()) if r.begun > state.since]
+        count += any(r.role == READ_ROLE for r in later)
+    return count
+
+
+def count_judged(record: RunRecord) -> dict[str, int]:
+    """How many cases of a run each rule was tried on."""
+    answered = [a for a in record.client_requests if not a.excused and not a.left]
+    licences = {a.key for a in record.client_requests if a.cls == "licence"}
+    left = {a.key for a in record.client_requests if a.left}
+    first_drain = min(record.drains.values(), default=float("inf"))
+    return {
+        "answered once and in time": len(answered),
+        "streams are passed on whole": sum(a.how in ("served", "broken") for a in answered),
+        "a licence runs once at most": sum(
+            r.key in licences and r.role != READ_ROLE for r in record.engine_attempts
+        ),
+        "nothing begins after a client has left": sum(
+            r.key in left for r in record.engine_attempts
+        ),
+        "drained engines get nothing new": sum(
+            r.arrived > first_drain for r in record.engine_attempts
+        ),
+        "engines are told what is left": len(record.engine_attempts),
+        "nothing stays held": len(record.reserved_states),
+        "what is held is used or let go in time": interrupted_reads(record),
+        "events are passed on at once": sum(a.how == "served" for a in answered),
+        "bad clients are ended in time": sum(not b.excused for b in record.misbehaving_clients),
+        "no request that was read is dropped": sum(
+            a.how == "crossed" for a in record.client_requests
+        ),
+    }
+
+
 def all_hold(found: dict[str, Iterable[str]]) -> bool:
     """Whether no rule is broken."""
     return not any(found.values())
--- a/claycross/emulator/soak_test.py
+++ b/claycross/emulator/soak_test.py
@@ -19,7 +19,6 @@
 import tempfile
 import threading
 import time
-from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -41,6 +40,7 @@
     all_hold,
     check_all,
 )
+from .soak_report import RunSummary, report
 from .system_faults import Field, SystemFaults
 
 EXCUSED_AROUND = (
@@ -92,6 +92,7 @@
     FaultKind.ENGINE_SILENT: 6.0,
     FaultKind.CUT: 5.0,
     FaultKind.RESET: 0.5,
+    FaultKind.RESPONSE_LOST: 0.5,
 }
 UNREACHED = (FaultKind.STALL, FaultKind.RELOAD, FaultKind.STOP, FaultKind.CALLS)
 
@@ -198,16 +199,8 @@
         if t.kind in self.injectors:
             for n in t.gateways:
                 threading.Thread(target=self.run_injector, args=(t, n), daemon=True).start()
-        elif t.kind in (FaultKind.CUT, FaultKind.RESET):
-            gateways, engines = (
-                frozenset(("gateways", t.zones[0])),
-                frozenset(("engines", t.zones[1])),
-            )
-            begin = t.at
-            self.fleet.net.faults += [
-                Fault(str(t.kind), a, b, begin, begin + t.span)
-                for a, b in ((gateways, engines), (engines, gateways))
-            ]
+        elif t.kind in (FaultKind.CUT, FaultKind.RESET, FaultKind.RESPONSE_LOST):
+            self.fleet.net.faults += faults_of_ways(t)
         else:
             threading.Thread(target=self.at_engines, args=(t,), daemon=True).start()
 
@@ -586,6 +579,17 @@
         self.record.states_left, self.record.fell = found["states"], found["fell"]
         self.ended = True
 
+    def summary(self) -> RunSummary:
+        """What the report names of this run."""
+        return RunSummary(
+            seed=self.file.seed,
+            processes=len(self.fleet.parts),
+            faults=self.troubles,
+            failed_calls=sum(shim.get(Field.FAILED) for shim in self.fleet.shims),
+            killed=len(self.planned),
+            longest_deadline_s=self.spans[1],
+        )
+
     def is_excused(self, gateway: int, begin: float, end: float) -> bool:
         """Whether its gateway was killed, or stopped for longer than allowed, in that time."""
         return any(
@@ -604,6 +608,17 @@
             self.record.logged += [f"g{n}: {line}" for line in lines]
 
 
+def faults_of_ways(planned: PlannedFault) -> list[Fault]:
+    """The faults between the gateways of a zone and the engines of another."""
+    gateways = frozenset(("gateways", planned.zones[0]))
+    engines = frozenset(("engines", planned.zones[1]))
+    end = planned.at + planned.span
+    if planned.kind is FaultKind.RESPONSE_LOST:
+        return [Fault("swallow", engines, gateways, planned.at, end)]
+    ways = ((gateways, engines), (engines, gateways))
+    return [Fault(str(planned.kind), a, b, planned.at, end) for a, b in ways]
+
+
 def large_fleet(folder: pathlib.Path) -> pathlib.Path:
     """The file of a fleet with many engines."""
     path = folder / "large-fleet.toml"
@@ -630,27 +645,5 @@
             soak.fleet.close()
             if keep:
                 shutil.copytree(folder, pathlib.Path(keep) / f"seed-{seed}", dirs_exist_ok=True)
-    report(seed, soak, found)
+    report(soak.summary(), soak.record, found)
     return all_hold(found)
-
-
-def report(seed: int, soak: SoakTest, found: dict[str, list[str]]) -> None:
-    """The troubles, what came of the requests, and the rules."""
-    record = soak.record
-    how = dict(sorted(Counter(request.how for request in record.client_requests).items()))
-    excused = sum(request.excused for request in record.client_requests)
-    failed_calls = sum(shim.get(Field.FAILED) for shim in soak.fleet.shims)
-    click.echo(
-        f"seed {seed}: {len(soak.fleet.parts)} processes, {len(soak.troubles)} troubles, "
-        f"{len(record.client_requests)} requests ({how}, {excused} excused), "
-        f"{len(record.engine_attempts)} attempts, {failed_calls} system calls made to fail, "
-        f"{len(record.reserved_states)} states, "
-        f"{len(soak.planned)} killed at the end of their time, "
-        f"deadlines {soak.spans[1]:.1f} s, "
-        f"own lag {max((lag for _, lag in record.lags), default=0.0):.2f} s"
-    )
-    for trouble in soak.troubles:
-        click.echo(f"  {trouble}")
-    for rule, these in found.items():
-        shown = f": {len(these)}: {these[:4]}" if these else ""
-        click.echo(f"  {'BROKEN' if these else 'holds '}  {rule}{shown}")
--- a/tests/emulator/test_soak_test.py
+++ b/tests/emulator/test_soak_test.py
@@ -17,6 +17,8 @@
     RunRecord,
     all_hold,
     check_all,
+    count_judged,
+    interrupted_reads,
     unused,
 )
 from standins.servers import ROOT
@@ -177,6 +179,40 @@
     assert unused(state, [EngineAttempt("a", "decode-0", "write", 10.1, 1, "gone")]) == (10.0, 10.1)
 
 
+def test_only_a_read_that_a_later_attempt_overtook_may_leave_a_state_behind():
+    rule = "what is held is used or let go in time"
+    record = good()
+    record.reserved_states.append(ReservedState("a", "prefill-3", 9.0, 9.9))
+    record.engine_attempts.append(
+        EngineAttempt("a", "prefill-3", "read", 8.9, 2.9, "gone", ended=9.0)
+    )
+    assert check_all(record)[rule]  # it came first
+    record.engine_attempts.append(
+        EngineAttempt("a", "prefill-4", "read", 8.8, 2.5, "reset", ended=8.85)
+    )
+    assert not check_all(record)[rule]  # the other was told less time, so it had been sent later
+
+
+def test_cases_of_each_rule_are_counted():
+    record = good()
+    judged = count_judged(record)
+    assert judged["a licence runs once at most"] == 2
+    assert judged["bad clients are ended in time"] == 1
+    assert set(judged) < set(CHECKERS)
+    assert interrupted_reads(record) == 0
+    record.engine_attempts.append(EngineAttempt("a", "prefill-3", "read", 10.2, 1.5, "read"))
+    assert interrupted_reads(record) == 1
+
+
+def test_each_run_loses_responses_while_a_role_hangs():
+    for seed in range(20):
+        faults = draw_plan(seed, 7, 6, FLEET, ZONES)
+        hangs = [f for f in faults if f.kind is FaultKind.ROLE_HANGS]
+        lost = [f for f in faults if f.kind is FaultKind.RESPONSE_LOST]
+        assert {f.zones[1] for f in lost} == set(ZONES)
+        assert any(h.at <= f.at <= h.at + 3 * h.span for h in hangs for f in lost)
+
+
 def test_the_lag_of_a_moment_widens_what_is_judged_there_alone():
     record = good()
     change(record, "a", first=12.6)
