--- a/claycross/frontends/metrics.py
+++ b/claycross/frontends/metrics.py
@@ -33,6 +33,9 @@
     avoided: int = 0  # listed engines that the gateway itself avoids, and that are not disabled
     draining: int = 0  # listed engines that discovery reports as draining
     started: float = 0.0  # Unix time of the process's start, in seconds
+    states: float = 0  # that engines may hold for requests
+    oldest_state: float = 0  # of these, in seconds since its read ended
+    releases: float = 0  # in flight
     # Further counters, named by the modules that keep them.
     other_counters: dict[str, int] = field(default_factory=dict)
     # The other gateways by their state as seen by this one, and counts of membership messages.
@@ -73,6 +76,13 @@
             "Unix time at which this process started.",
             snapshot.started,
         )
+        yield gauge("gateway_states", "Read states that engines may hold.", snapshot.states)
+        yield gauge(
+            "gateway_oldest_state_seconds",
+            "Age of the oldest read state that an engine may hold.",
+            snapshot.oldest_state,
+        )
+        yield gauge("gateway_releases", "Releases of read states in flight.", snapshot.releases)
         yield from membership(snapshot)
         yield from further_counters(snapshot)
 
--- a/claycross/gateway/statistics.py
+++ b/claycross/gateway/statistics.py
@@ -91,10 +91,12 @@
         services = zip(parts.managers, parts.engine_connections, parts.frontends, strict=False)
         for manager, connections, frontend in services:
             counts = dict(connections.metrics())
+            releases = manager.release_gauges()
             text = " ".join(filter(None, (format_counts(counts), sorted_counts(manager.counts))))
             self.log(
                 f"stats-{manager.name} open={len(manager.requests)} "
-                f"clients={len(frontend.clients)} {text}"
+                f"clients={len(frontend.clients)} states={releases.states} "
+                f"oldest_state_ms={releases.oldest_age // MS} releases={releases.releases} {text}"
             )
             ejected = manager.ejected_engines()
             if ejected:
@@ -141,10 +143,20 @@
             avoided=len(ejected - disabled),
             draining=len(draining),
             started=self.started_at / SECOND,
+            **self.release_gauges(),
             other_counters=self.additional_counts(),
             members=parts.membership.metrics() if parts.membership else {},
         )
 
+    def release_gauges(self) -> dict[str, float]:
+        """Return the obligations to release states, of all services together."""
+        gauges = [manager.release_gauges() for manager in self.parts.managers]
+        return {
+            "states": sum(gauge.states for gauge in gauges),
+            "oldest_state": max(gauge.oldest_age for gauge in gauges) / SECOND,
+            "releases": sum(gauge.releases for gauge in gauges),
+        }
+
     def reply_counts(self) -> dict[tuple[str, str], int]:
         """Return the number of replies of all services, by class and status."""
         replies: dict[tuple[str, str], int] = {}
--- a/claycross/requests/manager.py
+++ b/claycross/requests/manager.py
@@ -22,7 +22,7 @@
 from .engine_protocol import EngineCalls
 from .protocols import Clock, Reply
 from .records import Attempt, Request, RequestEnd
-from .release_coordinator import ReleaseCoordinator
+from .release_coordinator import ReleaseCoordinator, ReleaseGauges
 from .request_metrics import RequestMetrics
 from .request_registry import RequestRegistry
 from .reserved_states import ReservationStatus, ReservedStates
@@ -83,11 +83,11 @@
     @property
     def engine_calls(self) -> EngineCalls:
         """The engine side; set once it is built."""
-        return self.state_releases.engine_calls
+        return self.state_releases.in_flight.engine_calls
 
     @engine_calls.setter
     def engine_calls(self, engine_calls: EngineCalls) -> None:
-        self.state_releases.engine_calls = engine_calls
+        self.state_releases.in_flight.engine_calls = engine_calls
 
     @property
     def attempts_sent(self) -> int:
@@ -126,6 +126,10 @@
         """Return how many releases a stopping gateway has to wait for."""
         return self.state_releases.pending()
 
+    def release_gauges(self) -> ReleaseGauges:
+        """Return the present obligations to release states at engines."""
+        return self.state_releases.gauges(self.requests.values())
+
     def unanswered(self) -> int:
         """Return how many accepted requests are not answered yet."""
         return sum(not request.finished for request in self.requests.values())
@@ -460,7 +464,6 @@
         """Release the states that engines hold for a request."""
         request = self.requests.get(action.request)
         if request:
-            request.states_released = request.finished
             self.state_releases.release_request(request)
 
     def forget_request(self, number: int) -> None:
--- a/claycross/requests/records.py
+++ b/claycross/requests/records.py
@@ -47,7 +47,7 @@
     streaming_attempt: Attempt | None = None  # the attempt whose output the client receives
     # A write was abandoned; its engine may keep waiting for the state until it notices that.
     write_abandoned: bool = False
-    states_released: bool = False  # the router has released its states
+    states_released: bool = False  # the router has released its states since the last read
     unreported_attempts: int = 0  # attempts whose result was not reported to the router yet
     deadline_timer: ScheduledCall | None = None
     release_timer: ScheduledCall | None = None  # when its states have to be released
--- a/claycross/requests/release_coordinator.py
+++ b/claycross/requests/release_coordinator.py
@@ -2,14 +2,14 @@
 
 A read creates a state at its engine, which reserves it for the write that follows. If no write
 follows, the engine has to be asked to release it within a time given by the settings. The
-coordinator owns the releases in flight, the timers of reservations and the reads that wait for a
-release. reserved_states.py records which states may exist and computes when they have to be
-released; state_release.py decides which engines are called and when.
+coordinator owns the states of all requests, their timers and the reads that wait for a release.
+reserved_states.py records which states of one request may exist and computes when they have to be
+released; releases_in_flight.py makes the calls.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
 from typing import NamedTuple
@@ -17,9 +17,9 @@
 from .. import interface as i
 from . import preconditions
 from .endpoint_directory import EndpointDirectory
-from .engine_protocol import EngineCalls
-from .protocols import Clock, ScheduledCall
+from .protocols import Clock
 from .records import Attempt, Request, WaitingRead
+from .releases_in_flight import ReleasesInFlight
 from .request_metrics import RequestMetrics
 from .reserved_states import ABANDONED_RESULTS, ABANDONED_WRITE_NS
 from .state_release import StateRelease
@@ -31,7 +31,15 @@
 # Before states are due beside a read in flight, its engine is sent liveness checks, these shares of
 # the release time earlier. While it runs, the states need not be released.
 LIVENESS_CHECK_SHARES = (0.7, 0.4)
-MAX_RELEASES_IN_FLIGHT = 4096  # bounds the memory
+MAX_ENDED_REQUESTS = 4096  # bounds the memory
+
+
+class ReleaseGauges(NamedTuple):
+    """The present obligations to release states."""
+
+    states: int  # that engines may hold for requests
+    oldest_age: int  # of these, in ns since its read ended; 0: there is none
+    releases: int  # in flight
 
 
 class EndedRequest(NamedTuple):
@@ -56,16 +64,22 @@
     directory: EndpointDirectory
     metrics: RequestMetrics
     find_request: Callable[[str], Request | None]  # by its key
-    engine_calls: EngineCalls = field(init=False)  # set once the engine side is built
-    # Release in flight -> the timer of its next calls, if one is set.
-    releases: dict[StateRelease, ScheduledCall | None] = field(init=False, default_factory=dict)
-    # (key, holder) -> the release in flight that was started last.
-    latest: dict[tuple[str, str], StateRelease] = field(init=False, default_factory=dict)
-
+    in_flight: ReleasesInFlight = field(init=False)
     # Requests that are over, by key, and may have left states.
     ended: dict[str, EndedRequest] = field(init=False, default_factory=dict)
     ended_key: str = field(init=False, default="")  # of a request that is over
 
+    def __post_init__(self) -> None:
+        """Create the releases in flight, of which there are none."""
+        self.in_flight = ReleasesInFlight(
+            self.settings.release_within,
+            self.clock,
+            self.log,
+            self.directory,
+            self.metrics,
+            self,
+        )
+
     # ------------------------------------------------------------ reservations
 
     def attempt_finished(self, attempt: Attempt) -> None:
@@ -76,6 +90,7 @@
         now = self.clock.now()
         if attempt.is_read:
             states.read_ended(attempt.engine, result, now)
+            request.states_released = False
         else:
             abandoned = result in ABANDONED_RESULTS and not attempt.streaming
             states.write_ended(now, abandoned)
@@ -96,11 +111,11 @@
         Its states stay on record until acknowledged releases have ended them. An engine ignores
         the first call while an abandoned write still waits for the state there.
         """
+        request.states_released = True
         for engine, may_be_silent in request.states.holders().items():
-            self.start(engine, request.key, may_be_silent)
+            self.in_flight.start(engine, request.key, may_be_silent)
             if request.finished and request.write_abandoned:
-                delay = ABANDONED_WRITE_NS
-                self.schedule(self.create(engine, request.key, may_be_silent, delay=delay))
+                self.in_flight.repeat(engine, request.key, may_be_silent, ABANDONED_WRITE_NS)
 
     def request_forgotten(self, request: Request) -> None:
         """Keep the states of a request that is over, until they are released for good."""
@@ -111,7 +126,7 @@
             self.stop_timer(request)
             self.ended_key = request.key
             return
-        while len(self.ended) >= MAX_RELEASES_IN_FLIGHT:
+        while len(self.ended) >= MAX_ENDED_REQUESTS:
             self.metrics.count("release-dropped")
             self._forget_ended(next(iter(self.ended.values())).request)
         self.ended[request.key] = EndedRequest(request, self.clock.now())
@@ -152,7 +167,7 @@
             return
         request.waiting_read = WaitingRead(attempt, start)
         for engine, may_be_silent in holders.items():
-            self.start(engine, request.key, may_be_silent, urgent=True)
+            self.in_flight.start(engine, request.key, may_be_silent, urgent=True)
         self.start_timer(request)
 
     def _start_waiting_read(self, request: Request) -> None:
@@ -236,7 +251,9 @@
             if attempt.is_read:
                 self.metrics.count("liveness-check")
                 finished = partial(self._liveness_check_finished, attempt, now)
-                self.engine_calls.release(attempt.engine, self.ended_key, finished, _always)
+                self.in_flight.engine_calls.release(
+                    attempt.engine, self.ended_key, finished, _always
+                )
 
     def _liveness_check_finished(self, attempt: Attempt, sent_at: int, acknowledged: bool) -> None:
         """Restart the clocks if the read is still in flight: its engine ran after this time."""
@@ -280,130 +297,25 @@
             self._forget_ended(request)
             return
         if request.key not in self.ended:
-            self.metrics.states_due(request, self.directory.last_response, now)
+            calls = {
+                engine: self.in_flight.calls_made(request.key, engine)
+                for engine in states.holders()
+            }
+            self.metrics.states_due(request, self.directory.last_response, calls, now)
         states.expire(now, bool(request.attempts_in_flight()))
         for engine, may_be_silent in states.holders().items():
-            self.start(engine, request.key, may_be_silent, urgent=True)
+            self.in_flight.start(engine, request.key, may_be_silent, urgent=True)
         self._start_waiting_read(request)
         self.start_timer(request)
 
-    # ------------------------------------------------------------ releases
-
-    def start(self, engine: str, key: str, may_be_silent: bool, *, urgent: bool = False) -> None:
-        """Start a release, in place of an earlier one of the same state."""
-        previous = self.latest.get((key, engine))
-        if previous:
-            self.end(previous)
-        release = self.create(engine, key, may_be_silent, urgent=urgent)
-        self.latest[key, engine] = release
-        self.advance(release)
-
-    def create(
-        self, engine: str, key: str, may_be_silent: bool, *, delay: int = 0, urgent: bool = False
-    ) -> StateRelease:
-        """Create a release of the state that the engine holds for the request with this key."""
-        endpoint = self.directory.endpoints.get(engine)
-        while len(self.releases) >= MAX_RELEASES_IN_FLIGHT:
-            self._drop_one()
-        request = self.find_request(key)
-        release = StateRelease(
-            key,
-            engine,
-            endpoint.zone if endpoint else "",
-            self.settings.release_within,
-            self.clock.now() + delay,
-            may_be_silent,
-            urgent,
-            request.states.state_count if request else 0,
-        )
-        self.releases[release] = None
-        return release
+    # ------------------------------------------------------------ results of releases
 
-    def _drop_one(self) -> None:
-        """End the oldest release that has been acknowledged or is too late, or else the oldest."""
-        now = self.clock.now()
-        settled = (release for release in self.releases if not release.is_pending(now))
-        dropped = next(settled, None)
-        if dropped is None:
-            self.metrics.count("release-dropped")
-            dropped = next(iter(self.releases))
-        self.end(dropped)
-
-    def end(self, release: StateRelease) -> None:
-        """End a release: no further call is made for it."""
-        release.finished = True
-        timer = self.releases.pop(release, None)
-        if timer:
-            timer.cancel()
-        if self.latest.get((release.key, release.engine)) is release:
-            del self.latest[release.key, release.engine]
-
-    def advance(self, release: StateRelease) -> None:
-        """Make the calls that are due now, and set the timer for the next ones."""
-        if release.finished:
-            return
-        for engine in release.next_calls(self.clock.now(), self.directory.relay_candidates()):
-            self.call(release, engine)
-        self.schedule(release)
-
-    def schedule(self, release: StateRelease) -> None:
-        """Set the timer for the next calls of a release."""
-        timer = self.releases.get(release)
-        if timer:
-            timer.cancel()
-        wait = release.time_to_next_call(self.clock.now())
-        if wait is not None:
-            self.releases[release] = self.clock.call_later(wait, partial(self.resume, release))
-
-    def resume(self, release: StateRelease) -> None:
-        """Continue a release, or end it if its calls would hit a state that the request needs."""
-        if not release.finished and self.is_stale(release):
-            self.end(release)
-            return
-        self.advance(release)
-
-    def call(self, release: StateRelease, engine: str) -> None:
-        """Call one engine, the holder or a relay, to release the state."""
-        if engine != release.engine or release.holder_calls > 1:
-            self.metrics.count("release-retry")
-        self.engine_calls.release(
-            engine,
-            release.key,
-            partial(self.call_finished, release, engine, self.clock.now()),
-            lambda: not release.finished and not self.is_stale(release),
-        )
+    def state_count(self, key: str) -> int:
+        """Return how many states were created for the request with this key."""
+        request = self.find_request(key)
+        return request.states.state_count if request else 0
 
-    def call_finished(
-        self, release: StateRelease, engine: str, called_at: int, acknowledged: bool
-    ) -> None:
-        """Process the end of a call, which the engine has acknowledged or not."""
-        now = self.clock.now()
-        if self.metrics.trace:
-            self.metrics.trace(
-                f"release-call request={release.key} holder={release.engine} at={engine} "
-                f"heard={acknowledged} doubt={release.may_be_silent} "
-                f"ms={(now - called_at) / MS:.1f} since_ms={(now - release.first_call_at) / MS:.1f}"
-            )
-        if acknowledged:
-            self.directory.engine_responded(engine, now)
-            self._acknowledged(release.key, engine, called_at)
-        if release.finished:
-            return
-        is_listed = release.engine in self.directory.endpoints
-        release.call_finished(engine, acknowledged, now, is_listed)
-        if release.failed:
-            self.log(
-                f"release-failed engine={release.engine} request={release.key} "
-                f"relays={len(release.relays)}"
-            )
-        if release.finished:
-            self.end(release)
-            if not is_listed:
-                self._holder_removed(release)
-        elif not acknowledged:
-            self.resume(release)
-
-    def _acknowledged(self, key: str, engine: str, called_at: int) -> None:
+    def release_acknowledged(self, key: str, engine: str, called_at: int) -> None:
         """Update the states of the request that was released, and start a waiting read."""
         request = self._find(key)
         if not request:
@@ -414,19 +326,19 @@
         )
         self._states_changed(request)
 
-    def _holder_removed(self, release: StateRelease) -> None:
-        request = self._find(release.key)
+    def holder_removed(self, key: str, engine: str) -> None:
+        """Forget the states of an engine that does not acknowledge and is no longer listed."""
+        request = self._find(key)
         if request:
-            request.states.holder_removed(release.engine)
+            request.states.holder_removed(engine)
             self._states_changed(request)
 
     def _states_changed(self, request: Request) -> None:
         """Start a read that has waited for this, and set the timer by the present records."""
         if request.waiting_read and not request.states.uncovered_holders():
             for engine in request.states.holders():
-                release = self.latest.get((request.key, engine))
-                if release:
-                    self.end(release)  # its next calls would hit the state of the read
+                # Its next calls would hit the state of the read.
+                self.in_flight.end_latest(request.key, engine)
             self._start_waiting_read(request)
         if not request.states.states:
             self.ended.pop(request.key, None)
@@ -451,7 +363,13 @@
             return release.relayed or not release.urgent
         return bool(in_flight) and not release.urgent
 
+    def gauges(self, requests: Iterable[Request]) -> ReleaseGauges:
+        """Return the present obligations for these requests and for those that are over."""
+        tracked = [*requests, *(ended.request for ended in self.ended.values())]
+        read_ends = [state.read_ended_at for request in tracked for state in request.states.states]
+        oldest_age = self.clock.now() - min(read_ends) if read_ends else 0
+        return ReleaseGauges(len(read_ends), oldest_age, len(self.in_flight.releases))
+
     def pending(self) -> int:
         """Return how many releases and states a stopping gateway has to wait for."""
-        now = self.clock.now()
-        return len(self.ended) + sum(release.is_pending(now) for release in self.releases)
+        return len(self.ended) + self.in_flight.pending()
--- a/claycross/requests/request_metrics.py
+++ b/claycross/requests/request_metrics.py
@@ -139,10 +139,17 @@
                 f"claimed={claimed} prompt={request.prompt_tokens}"
             )
 
-    def states_due(self, request: Request, last_response: Mapping[str, int], now: int) -> None:
+    def states_due(
+        self,
+        request: Request,
+        last_response: Mapping[str, int],
+        calls: Mapping[str, int],
+        now: int,
+    ) -> None:
         """Count that states are released because their time is over, and log each of them.
 
-        `last_response`: when each engine last responded to this gateway.
+        `last_response`: when each engine last responded to this gateway; `calls`: how many calls
+        of a release that is still in flight were made, by holder.
         """
         self.count("hold-due")
         in_flight = ",".join(
@@ -155,6 +162,7 @@
                 f"state-due request={request.key} engine={state.engine} "
                 f"read={state.result} age_ms={(now - state.read_ended_at) / MS:.0f} "
                 f"released_ms={_age(state.covered_at, now)} "
+                f"calls_in_flight={calls.get(state.engine, 0)} "
                 f"holder_response_ms={_age(last_response.get(state.engine), now)} "
                 f"status={request.states.status.name} in_flight={in_flight or 'none'}"
             )
--- a/claycross/requests/state_release.py
+++ b/claycross/requests/state_release.py
@@ -70,6 +70,10 @@
             self.first_call_at if self.may_be_silent else self.first_call_at + self.relay_delay
         )
 
+    def calls(self) -> int:
+        """Return how many calls were made for it."""
+        return self.holder_calls + len(self.relays)
+
     def next_calls(self, now: int, candidates: Iterable[RelayCandidate]) -> list[str]:
         """Return the engines to call now; `call_finished` reports the end of each call.
 
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -149,7 +149,7 @@
     clock.pass_by(5 * SECOND, manager)
     assert {engine for engine, _ in engine_calls.released} >= {first.engine}
     assert not manager.requests
-    assert not manager.state_releases.releases
+    assert not manager.state_releases.in_flight.releases
 
 
 @pytest.mark.parametrize("deaf", [False, True])
--- a/tests/requests/release_model.py
+++ b/tests/requests/release_model.py
@@ -16,6 +16,7 @@
 from functools import partial
 
 from claycross import interface as i
+from claycross.invariant import InvariantError
 from claycross.requests.manager import RequestManager
 from claycross.requests.records import Attempt
 from tests.fleet.test_fleet import VirtualClock
@@ -46,7 +47,16 @@
 READ_FATES = ("answered", "cut", "cut-with-state", "cut-before-state", "hung", "resumes", "slow")
 WRITE_FATES = ("answered", "cut", "refused", "hung")
 CALL_FATES = ("acknowledged", "lost", "late")
-EVENTS = ("none", "client-gone", "shutdown", "stall", "drained", "removed", "back")
+EVENTS = (
+    "none",
+    "client-gone",
+    "shutdown",
+    "stall",
+    "drained",
+    "removed",
+    "back",
+    "readers-drained",
+)
 
 
 @dataclass
@@ -366,6 +376,9 @@
             self.manager.stops_at = self.clock.now() + 3 * SECOND
         elif event == "stall":
             self.clock.at += STALL_NS
+        elif event == "readers-drained":
+            for reader in READERS:
+                self.update_endpoint("drained", reader)
         else:
             self.update_endpoint(event, attempt.engine)
 
@@ -383,7 +396,13 @@
             self.manager.update_endpoints(i.EndpointListUpdate(i.UpdateKind.CHANGES, [started]))
 
     def play(self) -> list[str]:
-        """Play the run to its end and return the violations."""
+        """Play the run to its end and return the violations, also of the program's invariants."""
+        try:
+            return self._play()
+        except InvariantError as error:
+            return [str(error)]
+
+    def _play(self) -> list[str]:
         end = self.clock.now() + RUN_NS
         self.manager.process_events()
         while self.clock.now() < end and self.clock.timers:
@@ -413,7 +432,7 @@
             return False
         if self.stopping:
             self.engines.ended = True
-        return self.stopping or not self.manager.state_releases.releases
+        return self.stopping or not self.manager.state_releases.in_flight.releases
 
 
 @dataclass
--- a/tests/requests/test_reserved_states.py
+++ b/tests/requests/test_reserved_states.py
@@ -235,4 +235,4 @@
     clock.pass_by(SECOND, manager)
     assert len(engine_calls.released) > releases_before
     assert not manager.requests
-    assert not manager.state_releases.releases
+    assert not manager.state_releases.in_flight.releases
--- a/tests/requests/test_state_release.py
+++ b/tests/requests/test_state_release.py
@@ -215,7 +215,7 @@
     clock.pass_by((ENDED_CLOCK_FACTOR + 1) * RELEASE_WITHIN_NS, manager)
     assert manager.pending_releases() == 0
     clock.pass_by(10 * SECOND, manager)
-    assert not manager.state_releases.releases
+    assert not manager.state_releases.in_flight.releases
     assert not manager.requests
 
 
@@ -223,7 +223,9 @@
     manager, clock, engine_calls = large_fleet(set())
     request, read = accept_request(manager)
     engine_calls.partitioned = [read.engine]
-    manager.state_releases.advance(manager.state_releases.create(read.engine, "k1", True))
+    manager.state_releases.in_flight.advance(
+        manager.state_releases.in_flight.create(read.engine, "k1", True)
+    )
     clock.pass_by(2 * RELEASE_WITHIN_NS, manager)
     assert read is engine_calls.started[-1] and not read.finished
     assert not engine_calls.release_times  # a release would also apply to the read in flight
