--- a/tests/requests/release_model.py
+++ b/tests/requests/release_model.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from functools import partial
+from typing import NamedTuple
 
 from claycross import interface as i
 from claycross.invariant import InvariantError
@@ -23,6 +24,16 @@
 from tests.routing.router_harness import MS, READERS, SECOND, WRITERS, entry, settings
 
 KEY = "k1"
+
+
+class Platform(NamedTuple):
+    """What the platform permits."""
+
+    may_probe: bool
+    may_cancel: bool
+
+
+PLATFORMS = (Platform(False, True), Platform(True, True), Platform(False, False))
 CLIENT_TIMEOUT_NS = 1500 * MS
 RELEASE_WITHIN_NS = 300 * MS
 # The specification adds 50 ms on sockets and 300 ms to the release time.
@@ -345,13 +356,13 @@
 class Run:
     """One run: a request, its engines and the events beside it."""
 
-    def __init__(self, prefix: tuple[int, ...], request_class: str, may_probe: bool):
+    def __init__(self, prefix: tuple[int, ...], request_class: str, platform: Platform):
         self.clock = VirtualClock()
         self.choices = Choices(prefix)
         self.engines = EngineModel(self.clock, self.choices)
         self.client = ClientModel()
         self.stopping = False
-        over = {"release_within": RELEASE_WITHIN_NS, "may_probe": may_probe}
+        over = {"release_within": RELEASE_WITHIN_NS, **platform._asdict()}
         self.manager = RequestManager(settings(**over), 1, self.clock, lambda _text: None)
         self.manager.engine_calls = self.engines
         self.manager.state_releases.ended_key = "ended"
@@ -447,14 +458,14 @@
 
 
 def explore(
-    max_deviations: int, max_choices: int, request_class: str, may_probe: bool
+    max_deviations: int, max_choices: int, request_class: str, platform: Platform
 ) -> Iterator[Finding | None]:
     """Play all runs with up to that many deviations among their first choices, fewest first."""
     level: list[tuple[int, ...]] = [()]
     for deviations in range(max_deviations + 1):
         following: list[tuple[int, ...]] = []
         for prefix in level:
-            run = Run(prefix, request_class, may_probe)
+            run = Run(prefix, request_class, platform)
             violations = run.play()
             yield Finding(run.choices.deviations(), violations) if violations else None
             if deviations < max_deviations:
@@ -472,12 +483,12 @@
 
 
 def random_runs(
-    seed: int, count: int, deviation_share: float, request_class: str, may_probe: bool
+    seed: int, count: int, deviation_share: float, request_class: str, platform: Platform
 ) -> Iterator[Finding | None]:
     """Play random runs of any depth."""
     generator = random.Random(seed)
     for _ in range(count):
-        run = Run((), request_class, may_probe)
+        run = Run((), request_class, platform)
         run.choices.take = partial(  # type: ignore[method-assign]
             take_randomly, run.choices, generator, deviation_share
         )
@@ -511,20 +522,20 @@
     options = parser.parse_args()
     found = 0
     for request_class in ("ask", "once"):
-        for may_probe in (False, True):
+        for platform in PLATFORMS:
             if options.random:
                 findings = random_runs(
-                    options.seed, options.random, options.share, request_class, may_probe
+                    options.seed, options.random, options.share, request_class, platform
                 )
             else:
-                findings = explore(options.deviations, options.choices, request_class, may_probe)
+                findings = explore(options.deviations, options.choices, request_class, platform)
             runs = 0
             for finding in findings:
                 runs += 1
                 if finding:
                     found += 1
-                    print(f"{request_class} probes={may_probe} {finding}", flush=True)
-            print(f"{request_class} probes={may_probe}: {runs} runs, {found} found so far")
+                    print(f"{request_class} {platform}: {finding}", flush=True)
+            print(f"{request_class} {platform}: {runs} runs, {found} found so far")
     return 1 if found else 0
 
 
--- a/tests/requests/test_release_orders.py
+++ b/tests/requests/test_release_orders.py
@@ -9,7 +9,7 @@
 
 from claycross.requests.release_coordinator import ReleaseCoordinator
 from claycross.requests.reserved_states import ReservedStates
-from tests.requests.release_model import explore, random_runs
+from tests.requests.release_model import PLATFORMS, explore, random_runs
 
 MAX_DEVIATIONS = 3
 MAX_PLANTED_DEVIATIONS = 2  # in runs of a planted fault
@@ -27,25 +27,25 @@
 def shortest_finding(max_deviations):
     """Return the first finding of the search, which has the fewest deviations."""
     for request_class in REQUEST_CLASSES:
-        finding = first_finding(explore(max_deviations, MAX_CHOICES, request_class, False))
+        finding = first_finding(explore(max_deviations, MAX_CHOICES, request_class, PLATFORMS[0]))
         if finding:
             print(f"{request_class}: {finding}")
             return finding
     return None
 
 
-@pytest.mark.parametrize("may_probe", [False, True])
+@pytest.mark.parametrize("platform", PLATFORMS)
 @pytest.mark.parametrize("request_class", REQUEST_CLASSES)
-def test_no_order_of_events_violates_a_rule(request_class, may_probe):
-    findings = explore(MAX_DEVIATIONS, MAX_CHOICES, request_class, may_probe)
+def test_no_order_of_events_violates_a_rule(request_class, platform):
+    findings = explore(MAX_DEVIATIONS, MAX_CHOICES, request_class, platform)
     finding = first_finding(findings)
     assert finding is None, str(finding)
 
 
-@pytest.mark.parametrize("may_probe", [False, True])
+@pytest.mark.parametrize("platform", PLATFORMS)
 @pytest.mark.parametrize("request_class", REQUEST_CLASSES)
-def test_no_random_order_of_many_events_violates_a_rule(request_class, may_probe):
-    findings = random_runs(SEED, RANDOM_RUNS, RANDOM_DEVIATION_SHARE, request_class, may_probe)
+def test_no_random_order_of_many_events_violates_a_rule(request_class, platform):
+    findings = random_runs(SEED, RANDOM_RUNS, RANDOM_DEVIATION_SHARE, request_class, platform)
     finding = first_finding(findings)
     assert finding is None, str(finding)
 
--- a/tests/requests/test_reserved_states.py
+++ b/tests/requests/test_reserved_states.py
@@ -6,7 +6,9 @@
 from hypothesis import strategies as st
 
 from claycross import interface as i
+from claycross.requests import releases_in_flight
 from claycross.requests.preconditions import NO_STATE_LEFT
+from claycross.requests.request_metrics import RateLimiter
 from claycross.requests.reserved_states import ReservationStatus, ReservedStates
 from tests.fleet.test_fleet import accept_request, gateway
 from tests.routing.router_harness import MS, READERS, SECOND, WRITERS, entry
@@ -236,3 +238,37 @@
     assert len(engine_calls.released) > releases_before
     assert not manager.requests
     assert not manager.state_releases.in_flight.releases
+
+
+def test_releases_over_the_bound_drop_those_that_are_acknowledged_first(monkeypatch):
+    """An obligation is dropped only if all releases in flight are still owed."""
+    monkeypatch.setattr(releases_in_flight, "MAX_RELEASES", 3)
+    manager, clock, engine_calls = gateway()
+    engine_calls.deaf = {*READERS, *WRITERS}
+    in_flight = manager.state_releases.in_flight
+    for key in ("a", "b", "c"):
+        in_flight.start("r1", key, may_be_silent=True)
+    in_flight.latest["b", "r1"].relayed = True
+    in_flight.start("r1", "d", may_be_silent=True)
+    assert [release.key for release in in_flight.releases] == ["a", "c", "d"]
+    assert "release-dropped" not in manager.counts
+    in_flight.start("r1", "e", may_be_silent=True)
+    assert [release.key for release in in_flight.releases] == ["c", "d", "e"]
+    assert manager.counts["release-dropped"] == 1
+
+
+def test_state_that_is_due_is_logged_with_what_was_in_flight():
+    lines = []
+    manager, clock, engine_calls = gateway()
+    manager.metrics.log = lines.append
+    request, first_read = accept_request(manager)
+    manager.attempt_done(first_read, "reset")
+    manager.process_events()
+    clock.pass_by(2 * SECOND, manager)
+    due = next(line for line in lines if line.startswith("state-due"))
+    assert f"request=k1 engine={first_read.engine} read=reset" in due
+    assert "in_flight=" in due
+    limiter = RateLimiter(2)
+    assert [limiter.admit(SECOND + n) for n in range(4)] == [0, 0, None, None]
+    assert limiter.admit(3 * SECOND) == 2
+    assert manager.release_gauges().states >= 1
