Soak: a read whose response a cut holds back is out until its gateway gives it up

Traced: the read is complete at its engine, a cut holds its response back, the gateway gives it up 0.7 and 1.3 s later and a release is acknowledged 2 and 4 ms after that. The test has both sides.

--- a/claycross/emulator/invariant_checkers.py
+++ b/claycross/emulator/invariant_checkers.py
@@ -8,7 +8,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 DRAIN_WITHIN = 0.25 + 0.05  # after a drain was told
 TOLD_WITHIN = 6.0 + 0.3  # after discovery had it and could be reached, whatever was in the way
@@ -257,6 +257,23 @@
     return any(other.told < attempt.told and other.arrived < attempt.arrived for other in these)
 
 
+def until_response(
+    record: RunRecord, attempt: EngineAttempt, these: Iterable[EngineAttempt], over_at: float
+) -> EngineAttempt:
+    """The attempt with its end as its gateway can know it.
+
+    A response that a cut holds back has not arrived: the attempt is out until the cut is over, or
+    until the gateway has given it up, which the next attempt or the end of the request shows.
+    """
+    for begin, end in record.cuts:
+        if begin <= attempt.ended <= end:
+            shown = [other.begun for other in these if other.begun > attempt.ended]
+            if over_at > attempt.ended:
+                shown.append(over_at)
+            return replace(attempt, ended=min([end + CUT_ENDS, *shown]))
+    return attempt
+
+
 def states_used_or_released_in_time(record: RunRecord) -> list[str]:
     """A state is taken by an attempt that has arrived, or let go, in its time, but where its
     gateway was killed or stopped, and where a proxy delivered its read after a later attempt.
@@ -272,7 +289,7 @@
         over_at = closed.get(state.key, 0.0)
         if any(r.engine == state.engine and overtaken(record, r, these, over_at) for r in these):
             continue
-        begin, end = unused(state, these)
+        begin, end = unused(state, [until_response(record, r, these, over_at) for r in these])
         if state.key not in excused and end - begin > HELD_WITHIN + record.lag(begin, end):
             found.append(f"{state.key} at {state.engine} {end - begin:.2f} s")
     return found
--- a/tests/emulator/test_soak_test.py
+++ b/tests/emulator/test_soak_test.py
@@ -193,6 +193,23 @@
     assert not check_all(record)[rule]  # the other was told less time, so it had been sent later
 
 
+def test_a_read_whose_response_a_cut_holds_back_is_out_until_its_gateway_gives_it_up():
+    rule = "what is held is used or let go in time"
+    record = good()
+    record.engine_attempts.append(
+        EngineAttempt("a", "prefill-3", "read", 8.0, 3.0, "read", ended=8.1)
+    )
+    record.engine_attempts.append(
+        EngineAttempt("a", "prefill-4", "read", 8.9, 2.1, "reset", ended=8.95)
+    )
+    record.reserved_states.append(ReservedState("a", "prefill-3", 8.1, 8.9))
+    assert check_all(record)[rule]
+    record.cuts.append((8.05, 8.9))
+    assert not check_all(record)[rule]
+    record.reserved_states[-1].until = 9.7
+    assert check_all(record)[rule]  # the next attempt shows that it had been given up
+
+
 def test_cases_of_each_rule_are_counted():
     record = good()
     judged = count_judged(record)
