--- a/claycross/requests/release_coordinator.py
+++ b/claycross/requests/release_coordinator.py
@@ -56,7 +56,7 @@
 
 @dataclass(eq=False)
 class ReleaseCoordinator:
-    """Owns the releases in flight and the timers of reservations."""
+    """Owns the states that engines may hold for requests, and their timers."""
 
     settings: i.Settings
     clock: Clock
@@ -80,7 +80,7 @@
             self,
         )
 
-    # ------------------------------------------------------------ reservations
+    # ------------------------------------------------------------ states
 
     def attempt_finished(self, attempt: Attempt) -> None:
         """Update which engines may hold states for the request by the result of an attempt."""
@@ -189,7 +189,7 @@
         While an answer is streamed, its attempt is at a running engine and no state is due.
         """
         self.stop_timer(request)
-        if request.streaming_attempt and not request.finished:
+        if not request.states.states or (request.streaming_attempt and not request.finished):
             return
         if due is None:
             due = request.states.due()
@@ -237,8 +237,8 @@
         return (
             self.settings.may_probe
             and self.ended_key != ""
-            and not request.states.uncovered_holders()
             and any(attempt.is_read and attempt.sent_at for attempt in request.attempts_in_flight())
+            and not request.states.uncovered_holders()
         )
 
     def _check_liveness(self, request: Request, now: int) -> None:
--- a/claycross/requests/reserved_states.py
+++ b/claycross/requests/reserved_states.py
@@ -222,12 +222,14 @@
         After a release, the next one is due after the release time at the earliest: until then the
         calls of the present one continue.
         """
-        starts = [
-            start for state in self.states if (start := state.release_time_starts()) is not None
-        ]
-        if not starts:
+        earliest: int | None = None
+        for state in self.states:
+            start = state.release_time_starts()
+            if start is not None and (earliest is None or start < earliest):
+                earliest = start
+        if earliest is None:
             return None
-        due = min(starts) + self.release_within + ARRIVAL_MARGIN_NS
+        due = earliest + self.release_within + ARRIVAL_MARGIN_NS
         return max(due, self.expired_at + self.release_within) if self.expired_at else due
 
     def due_while_connecting(self) -> int | None:
@@ -237,9 +239,10 @@
 
     def due_after_send(self, now: int) -> int | None:
         """Return the same for a write whose last byte is sent now."""
-        due, due_while_connecting = self.due(), self.due_while_connecting()
-        if due is None or due_while_connecting is None:
+        due = self.due()
+        if due is None:
             return None
+        due_while_connecting = due + CONNECT_MARGIN_NS - ARRIVAL_MARGIN_NS
         return max(due, min(due_while_connecting, now + ARRIVAL_MARGIN_NS))
 
 
