One sender of concurrent requests, one grouping of attempts; a dead method is gone

Read once more: test_interrupted_reads.py repeated the senders of test_held_states.py (now concurrent_requests.py), two checkers grouped attempts by request, the margin of a connecting write was written twice, the random search patched a method (now RandomChoices), and ReservedStates.clear served one planted fault only. Behaviour and assertions are as they were; random runs draw the same.

--- a/claycross/emulator/invariant_checkers.py
+++ b/claycross/emulator/invariant_checkers.py
@@ -244,6 +244,14 @@
     return (at, state.until) if state.until - at > longest[1] - longest[0] else longest
 
 
+def attempts_by_key(record: RunRecord) -> dict[str, list[EngineAttempt]]:
+    """The attempts of each request."""
+    by_key: dict[str, list[EngineAttempt]] = {}
+    for attempt in record.engine_attempts:
+        by_key.setdefault(attempt.key, []).append(attempt)
+    return by_key
+
+
 def overtaken(
     record: RunRecord, attempt: EngineAttempt, these: Iterable[EngineAttempt], over_at: float
 ) -> bool:
@@ -280,9 +288,7 @@
     """
     closed = {a.key: a.closed for a in record.client_requests}
     excused = {a.key for a in record.client_requests if a.excused}
-    by_key: dict[str, list[EngineAttempt]] = {}
-    for r in record.engine_attempts:
-        by_key.setdefault(r.key, []).append(r)
+    by_key = attempts_by_key(record)
     found = []
     for state in record.reserved_states:
         these = by_key.get(state.key, ())
@@ -375,9 +381,7 @@
 
 def interrupted_reads(record: RunRecord) -> int:
     """How many states were left by reads whose response did not arrive at their gateway."""
-    attempts: dict[str, list[EngineAttempt]] = {}
-    for attempt in record.engine_attempts:
-        attempts.setdefault(attempt.key, []).append(attempt)
+    attempts = attempts_by_key(record)
     count = 0
     for state in record.reserved_states:
         later = [r for r in attempts.get(state.key, ()) if r.begun > state.since]
--- a/claycross/requests/reserved_states.py
+++ b/claycross/requests/reserved_states.py
@@ -198,10 +198,6 @@
         if attempt_in_flight:
             self.status = ReservationStatus.UNCERTAIN
 
-    def clear(self) -> None:
-        """Forget all states."""
-        self.states = []
-
     # ------------------------------------------------------------ what follows
 
     def holders(self) -> dict[str, bool]:
@@ -235,15 +231,19 @@
     def due_while_connecting(self) -> int | None:
         """Return the same for a write whose connection is not established yet."""
         due = self.due()
-        return None if due is None else due + CONNECT_MARGIN_NS - ARRIVAL_MARGIN_NS
+        return None if due is None else _while_connecting(due)
 
     def due_after_send(self, now: int) -> int | None:
         """Return the same for a write whose last byte is sent now."""
         due = self.due()
         if due is None:
             return None
-        due_while_connecting = due + CONNECT_MARGIN_NS - ARRIVAL_MARGIN_NS
-        return max(due, min(due_while_connecting, now + ARRIVAL_MARGIN_NS))
+        return max(due, min(_while_connecting(due), now + ARRIVAL_MARGIN_NS))
+
+
+def _while_connecting(due: int) -> int:
+    """Return the time until which a state that is due then is kept for a connecting write."""
+    return due + CONNECT_MARGIN_NS - ARRIVAL_MARGIN_NS
 
 
 def _by_engine(states: Iterable[ReservedState]) -> dict[str, bool]:
--- a/tests/requests/release_model.py
+++ b/tests/requests/release_model.py
@@ -89,6 +89,23 @@
         return [f"{what}: {options[index]}" for what, options, index in self.taken if index]
 
 
+class RandomChoices(Choices):
+    """Choices at random: a share of them deviates from the default."""
+
+    def __init__(self, generator: random.Random, deviation_share: float):
+        super().__init__(())
+        self.generator = generator
+        self.deviation_share = deviation_share
+
+    def take(self, what: str, options: tuple[str, ...]) -> str:
+        """Return an option at random, the default with the rest of the share."""
+        index = 0
+        if self.generator.random() < self.deviation_share:
+            index = self.generator.randrange(1, len(options))
+        self.taken.append((what, options, index))
+        return options[index]
+
+
 @dataclass
 class State:
     """A state that an engine holds."""
@@ -356,9 +373,9 @@
 class Run:
     """One run: a request, its engines and the events beside it."""
 
-    def __init__(self, prefix: tuple[int, ...], request_class: str, platform: Platform):
+    def __init__(self, choices: Choices, request_class: str, platform: Platform):
         self.clock = VirtualClock()
-        self.choices = Choices(prefix)
+        self.choices = choices
         self.engines = EngineModel(self.clock, self.choices)
         self.client = ClientModel()
         self.stopping = False
@@ -465,7 +482,7 @@
     for deviations in range(max_deviations + 1):
         following: list[tuple[int, ...]] = []
         for prefix in level:
-            run = Run(prefix, request_class, platform)
+            run = Run(Choices(prefix), request_class, platform)
             violations = run.play()
             yield Finding(run.choices.deviations(), violations) if violations else None
             if deviations < max_deviations:
@@ -488,29 +505,11 @@
     """Play random runs of any depth."""
     generator = random.Random(seed)
     for _ in range(count):
-        run = Run((), request_class, platform)
-        run.choices.take = partial(  # type: ignore[method-assign]
-            take_randomly, run.choices, generator, deviation_share
-        )
+        run = Run(RandomChoices(generator, deviation_share), request_class, platform)
         violations = run.play()
         yield Finding(run.choices.deviations(), violations) if violations else None
 
 
-def take_randomly(
-    choices: Choices,
-    generator: random.Random,
-    deviation_share: float,
-    what: str,
-    options: tuple[str, ...],
-) -> str:
-    """Take a choice at random, the default with the rest of the share."""
-    index = 0
-    if generator.random() < deviation_share:
-        index = generator.randrange(1, len(options))
-    choices.taken.append((what, options, index))
-    return options[index]
-
-
 def main() -> int:
     """Search by hand; exit with status 1 if a rule was violated."""
     parser = argparse.ArgumentParser(description="Search orders of events for violations.")
--- a/tests/requests/test_held_states.py
+++ b/tests/requests/test_held_states.py
@@ -1,6 +1,5 @@
 """A reserved state is used by a write that has arrived, or released in time."""
 
-import contextlib
 import signal
 import threading
 import time
@@ -8,11 +7,10 @@
 import pytest
 
 from standins.servers import Engine, chat, eventually, passes
+from tests.requests.concurrent_requests import CLIENT_TIMEOUT_MS, send_requests
 
 RELEASE_TIME_S = 0.3  # as in the settings
 SOCKET_GRACE_S = 0.35  # added by the protocol's specification
-CLIENT_TIMEOUT_MS = 3000
-REQUESTS_PER_CLASS = 4
 
 
 class StateReader(Engine):
@@ -58,33 +56,6 @@
         return record_release
 
 
-def send_request(gateway, key, request_class, statuses):
-    with gateway.client() as client, contextlib.suppress(OSError, IndexError):
-        sent = chat(client, cls=request_class, key=key, timeout=CLIENT_TIMEOUT_MS)
-        statuses[key] = sent.answer().status
-
-
-def send_requests(gateway, *request_classes):
-    """Send REQUESTS_PER_CLASS requests of each class at once.
-
-    Returns:
-        Their keys, their statuses as they arrive, and the threads.
-    """
-    statuses = {}
-    keys = {
-        f"{request_class}{index:04x}": request_class
-        for request_class in request_classes
-        for index in range(REQUESTS_PER_CLASS)
-    }
-    threads = [
-        threading.Thread(target=send_request, args=(gateway, key, request_class, statuses))
-        for key, request_class in keys.items()
-    ]
-    for thread in threads:
-        thread.start()
-    return sorted(keys), statuses, threads
-
-
 def reserved_for(reader, release_log, key):
     return release_log.released_at.get(key, float("inf")) - reader.reserved_since[key]
 
--- a/tests/requests/test_interrupted_reads.py
+++ b/tests/requests/test_interrupted_reads.py
@@ -1,6 +1,5 @@
 """A state left by an interrupted read is released in time, wherever the next attempts are."""
 
-import contextlib
 import signal
 import threading
 import time
@@ -9,12 +8,12 @@
 import pytest
 
 from standins.servers import Engine, chat, eventually, passes
+from tests.requests import concurrent_requests
+from tests.requests.concurrent_requests import CLIENT_TIMEOUT_MS, REQUESTS_PER_CLASS
 
 RELEASE_TIME_S = 0.3  # as in the settings
 SOCKET_GRACE_S = 0.35  # added by the protocol's specification
-CLIENT_TIMEOUT_MS = 3000
 ENGINES_PER_ROLE = 4
-REQUESTS_PER_CLASS = 4
 HALF_A_RESPONSE = b"HTTP/1.1 202 X\r\nContent-Le"
 
 
@@ -144,33 +143,12 @@
         wire.reset()
 
 
-def send_request(gateway, key, request_class, statuses):
-    with gateway.client() as client, contextlib.suppress(OSError, IndexError):
-        sent = chat(client, cls=request_class, key=key, timeout=CLIENT_TIMEOUT_MS)
-        statuses[key] = sent.answer().status
-
-
 def send_requests(gateway, *request_classes):
-    """Send REQUESTS_PER_CLASS requests of each class at once.
-
-    Returns:
-        Their keys, and their statuses, when all have ended.
-    """
-    statuses = {}
-    keys = {
-        f"{request_class}{index:04x}": request_class
-        for request_class in request_classes
-        for index in range(REQUESTS_PER_CLASS)
-    }
-    threads = [
-        threading.Thread(target=send_request, args=(gateway, key, request_class, statuses))
-        for key, request_class in keys.items()
-    ]
-    for thread in threads:
-        thread.start()
+    """Send requests of these classes at once; return keys and statuses when all have ended."""
+    keys, statuses, threads = concurrent_requests.send_requests(gateway, *request_classes)
     for thread in threads:
         thread.join()
-    return sorted(keys), statuses
+    return keys, statuses
 
 
 def test_state_of_a_cut_read_is_released_while_the_next_read_is_at_a_suspended_engine(site):
--- a/tests/requests/test_release_orders.py
+++ b/tests/requests/test_release_orders.py
@@ -62,7 +62,7 @@
 
 def forget_all(states, _engine, _called_at, _now, *, write_in_flight):
     """Take any acknowledgement as the end of all states, also of reads that may still run."""
-    states.clear()
+    states.states = []
 
 
 @pytest.mark.parametrize(
