--- a/review/1/case.py
+++ b/review/1/case.py
@@ -152,6 +152,15 @@
     engines = make_engines(record, trouble)
     process = multiprocessing.get_context("fork").Process(target=serve_engines, args=(engines,))
     process.start()
+    try:
+        return play_with_engines(record, engines)
+    finally:
+        process.kill()
+        process.join()
+
+
+def play_with_engines(record: Record, engines: list[Engine]) -> list[str]:
+    """Play the case at engines that are served; return the breaches of the rule."""
     discovery = Discovery(record)
     discovery.targets = {engine.uid: engine.target() for engine in engines}
     discovery.start()
@@ -177,9 +186,7 @@
         return breaches_of(outcomes)
     finally:
         gateway.end()
-        process.kill()
-        process.join()
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, play)
+    run_case(Path(__file__).with_name("record.txt"), play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -113,4 +113,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, play)
+    run_case(Path(__file__).with_name("record.txt"), play)
--- a/review/support/record.py
+++ b/review/support/record.py
@@ -3,26 +3,29 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 import threading
 import time
 import traceback
 from collections.abc import Callable
 from pathlib import Path
+from types import FrameType
 
 HELD = 0
 BROKEN = 1
 COULD_NOT_RUN = 2
+MAX_DURATION_S = 110  # of a run; the issue allows 120 s
 
 
 class Record:
     """Writes what was sent, answered and run to record.txt, with the time since the start."""
 
-    def __init__(self, folder: Path) -> None:
-        """Start an empty record in the folder of a case."""
+    def __init__(self, path: Path) -> None:
+        """Start an empty record."""
         self.started_at = time.monotonic()
         self.lock = threading.Lock()
-        self.file = (folder / "record.txt").open("w", encoding="utf-8")
+        self.file = path.open("w", encoding="utf-8")
 
     def now(self) -> float:
         """Return the seconds since the start."""
@@ -44,11 +47,23 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run_case(folder: Path, play: Callable[[Record, bool], list[str]]) -> None:
-    """Play a case and exit: `play` returns what broke the rule, one text for each breach."""
-    record = Record(folder)
+def stop_case(number: int, _frame: FrameType | None) -> None:
+    """End the case early, so that it ends all processes that it has started."""
+    raise CaseError(f"ended by {signal.Signals(number).name}")
+
+
+def run_case(path: Path, play: Callable[[Record, bool], list[str]]) -> None:
+    """Play a case and exit: `play` returns what broke the rule, one text for each breach.
+
+    `path`: of the case's record.txt.
+    """
+    name = path.resolve().parent.name
+    record = Record(path)
     trouble = with_trouble()
-    record.write(f"case {folder.name} trouble={trouble}")
+    record.write(f"case {name} trouble={trouble}")
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, stop_case)
+    signal.alarm(MAX_DURATION_S)
     try:
         breaches = play(record, trouble)
     except Exception:  # whatever went wrong, nothing is known of the rule
@@ -61,7 +76,7 @@
         status = BROKEN if breaches else HELD
         verdict = f"broken {len(breaches)} times" if breaches else "held"
         record.write(f"the rule was {verdict}")
-        print(f"case {folder.name} trouble={trouble}: {verdict}")
+        print(f"case {name} trouble={trouble}: {verdict}")
         for breach in breaches[:5]:
             print(f"  {breach}")
     sys.stdout.flush()
