A task that has used up its turn gives way: one peer no longer holds the gateway

Cause: Connection.recv reads before it parks and nothing made a task park while bytes were there, so the loop neither polled nor ran a timer or another task. The request of a client that had gone was ended by that client's reading task, which never ran either.

Change: a task that has run for TURN_BUDGET_NS is suspended at its next read, and before each pipelined request; suspended tasks have a queue and a share of each iteration, after timers and all others, so the lag doesn't grow with their number. Less is read at once while handling a read takes longer than a turn. Exchange ends its request when a part of the stream can't be sent. Empty lines before a request are skipped in one step. A budget in send() was ruled out: it would suspend between the last byte of an attempt and the note that it was sent.

--- a/claycross/frontends/base.py
+++ b/claycross/frontends/base.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+from functools import partial
 
 from ..invariant import invariant
 from ..net.address import Address
@@ -293,8 +294,10 @@
         Raises:
             RequestError: If the request is answered with an error.
         """
+        # A pipelined request that is buffered is answered without a read from the socket.
+        self.loop.end_turn_if_due()
         request = self.read_request(connection, inbox, first)
-        if request is None:
+        if request is None or connection.closed:
             return False
         self.set_state(connection, ClientState.BUSY)
         accepted = self.handle_request(connection, request)
@@ -302,6 +305,7 @@
             return not (request.wants_close or self.is_last_response(inbox))
         exchange = accepted.exchange
         exchange.inbox = inbox
+        exchange.on_disconnect = partial(self.manager.client_disconnected, accepted.request)
         self.exchanges[connection] = exchange
         self.wait_for_response(connection, inbox, accepted)
         # Unless the response announced that the connection closes, the next request is served.
--- a/claycross/frontends/exchange.py
+++ b/claycross/frontends/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
 
@@ -67,6 +68,8 @@
         self.finished = False
         self.streaming = False
         self.inbox: Inbox | None = None  # bytes that follow the request
+        # Called if a part of a streamed response can't be sent.
+        self.on_disconnect: Callable[[], None] | None = None
 
     def write(self, data: bytes) -> None:
         """Send the next part of a streamed response."""
@@ -86,12 +89,13 @@
         self.close_exchange()
 
     def send_bytes(self, data: bytes) -> None:
-        """Send bytes of a streamed response."""
+        """Send bytes of a streamed response; end the request if its client has disconnected."""
         try:
             self.connection.send(data, SEND_TIMEOUT_NS)
         except ConnectionClosedError:
-            # This wakes the connection's reading task, which informs the request manager.
             self.connection.close()
+            if self.on_disconnect:
+                self.on_disconnect()
 
     def reject(self, retry_after: int) -> None:
         """Respond that the request may be sent again after `retry_after` nanoseconds."""
--- a/claycross/frontends/metrics.py
+++ b/claycross/frontends/metrics.py
@@ -9,7 +9,12 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-from prometheus_client.core import CollectorRegistry, GaugeMetricFamily, Metric
+from prometheus_client.core import (
+    CollectorRegistry,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
 from prometheus_client.exposition import generate_latest
 
 MEMBERSHIP_PREFIX = "members_"  # of the names of member counts by state
@@ -36,6 +41,9 @@
     states: float = 0  # that engines may hold for requests
     oldest_state: float = 0  # of these, in seconds since its read ended
     releases: float = 0  # in flight
+    # (upper bound in seconds, iterations of the event loop whose lag was at most that)
+    lag_buckets: list[tuple[str, int]] = field(default_factory=list)
+    lag_total: float = 0.0  # of all iterations, in seconds
     # Further counters, named by the modules that keep them.
     other_counters: dict[str, int] = field(default_factory=dict)
     # The other gateways by their state as seen by this one, and counts of membership messages.
@@ -83,6 +91,12 @@
             snapshot.oldest_state,
         )
         yield gauge("gateway_releases", "Releases of read states in flight.", snapshot.releases)
+        yield HistogramMetricFamily(
+            "gateway_loop_lag_seconds",
+            "Lag of the event loop, by iteration.",
+            buckets=snapshot.lag_buckets,
+            sum_value=snapshot.lag_total,
+        )
         yield from membership(snapshot)
         yield from further_counters(snapshot)
 
--- a/claycross/gateway/gateway.py
+++ b/claycross/gateway/gateway.py
@@ -54,6 +54,7 @@
         self.http2 = configuration.http2
         self.loop = EventLoop()
         self.log = GatewayLog(self.loop, config.name).write
+        self.loop.log = self.log
         self.parts = self.create_parts()
         self.parts.state_store.load()
         connections = max_connections(config, embeddings, configuration.admin)
--- a/claycross/gateway/statistics.py
+++ b/claycross/gateway/statistics.py
@@ -82,6 +82,7 @@
             f"stats late_max_ms={loop.max_lag / MS:.1f} late_rounds={loop.late_iterations} "
             f"errors={loop.errors} broken={sum(violations.values())} "
             f"unwritten={dropped_lines.total()} "
+            f"slow_calls={loop.slow_calls} turns_ended={loop.turns_ended} "
             f"held_up={loop.stalls} held_up_max_ms={loop.longest_stall / MS:.1f}"
         )
 
@@ -144,6 +145,8 @@
             draining=len(draining),
             started=self.started_at / SECOND,
             **self.release_gauges(),
+            lag_buckets=self.loop.lag_histogram.cumulative(),
+            lag_total=self.loop.lag_histogram.total / SECOND,
             other_counters=self.additional_counts(),
             members=parts.membership.metrics() if parts.membership else {},
         )
@@ -176,6 +179,8 @@
             "breaches": sum(violations.values()),
             "unexpected_errors": self.loop.errors,
             "held_up": self.loop.stalls,
+            "slow_calls": self.loop.slow_calls,
+            "turns_ended": self.loop.turns_ended,
             "state_writes_failed": parts.state_store.failed_writes,
             "accepts_failed": self.accept_errors(),
             "starts_doubted": parts.incarnations.implausible,
--- a/claycross/net/connection.py
+++ b/claycross/net/connection.py
@@ -10,14 +10,19 @@
 import socket
 import struct
 import termios
+import time
 from collections.abc import Callable
 
 from .address import Address
 from .clock import MS
 from .errors import ConnectionClosedError, NoLocalSocketError, ReadInterrupted, TimeoutExpired
-from .event_loop import EventLoop, Task
+from .event_loop import TURN_BUDGET_NS, EventLoop, Task
 
-READ_BYTES = 16_384  # per recv(); small, so that one fast sender can't occupy the loop
+# Bytes per recv(). Fewer are read while handling them takes longer than a task's turn.
+MAX_READ_BYTES = 16_384
+MIN_READ_BYTES = 1024
+# More is read at once again if handling a read took less than this part of a turn.
+READ_GROWTH_SHARE = 4
 DIAL_RETRY_DELAY_NS = 5 * MS  # before the first retry of a dial; doubled for each further one
 MAX_DIAL_RETRY_DELAY_NS = 20 * MS
 # Errors that connect() returns for faults of this machine: no free port, no route, no memory or a
@@ -55,6 +60,10 @@
         self.received_at = 0
         self.reader: Task | None = None
         self.writer: Task | None = None
+        self.read_bytes = MAX_READ_BYTES
+        # The turn of the loop in which recv() last returned bytes, and the monotonic time then.
+        self.read_turn = -1
+        self.read_at = 0
         self.mask = 0  # poll events that are watched now
         self.closed = False
         self.interrupted = False
@@ -225,7 +234,8 @@
         """Return some bytes, or b"" once the peer has ended its sending.
 
         The socket is read once more before a timeout or an interruption is raised, as bytes may
-        have arrived at the same moment.
+        have arrived at the same moment. A task that has used up its turn is suspended before it
+        reads, whether or not bytes are there.
 
         Raises:
             TimeoutExpired: If nothing arrived within `timeout` nanoseconds (0: no limit).
@@ -233,11 +243,13 @@
             ReadInterrupted: After interrupt().
         """
         timeout_error: TimeoutExpired | None = None
+        self._adjust_read_size()
+        self.loop.end_turn_if_due()
         while True:
             if self.closed:
                 raise ConnectionClosedError("the connection is closed")
             try:
-                data = self.sock.recv(READ_BYTES)
+                data = self.sock.recv(self.read_bytes)
             except BlockingIOError:
                 self.readable_since = 0
             except OSError as error:
@@ -245,6 +257,8 @@
             else:
                 self.readable_since = self.readable_since or self.loop.ready_since
                 self.received_at = self.readable_since
+                self.read_turn = self.loop.turns
+                self.read_at = time.monotonic_ns()
                 return data
             if self.interrupted:
                 self.interrupted = False
@@ -256,6 +270,19 @@
             except TimeoutExpired as error:
                 timeout_error = error
 
+    def _adjust_read_size(self) -> None:
+        """Adjust how much is read at once to the time that handling the last read took.
+
+        That is known only if the task went on to this read without a wait.
+        """
+        if self.read_turn != self.loop.turns:
+            return
+        duration = time.monotonic_ns() - self.read_at
+        if duration > TURN_BUDGET_NS:
+            self.read_bytes = max(MIN_READ_BYTES, self.read_bytes // 2)
+        elif duration < TURN_BUDGET_NS // READ_GROWTH_SHARE:
+            self.read_bytes = min(MAX_READ_BYTES, self.read_bytes * 2)
+
     def send(self, data: bytes, timeout: int = 0) -> None:
         """Send all of the data.
 
--- a/claycross/net/event_loop.py
+++ b/claycross/net/event_loop.py
@@ -2,6 +2,10 @@
 
 The loop owns the clock, the only blocking poll call and all timers of the process, and measures
 its own lag. An exception in one task is logged and does not end the loop.
+
+Scheduling is cooperative, with a budget: a task that has run for TURN_BUDGET_NS without parking is
+suspended at its next read from a socket, so that a peer which sends without a pause can't keep
+signals, timers, the poll and other tasks waiting.
 """
 
 from __future__ import annotations
@@ -21,6 +25,7 @@
 from ..invariant import log_line
 from .clock import CLOCK_OFFSET_NS, MS, monotonic_clock_id
 from .errors import ConnectionClosedError
+from .lag_histogram import LagHistogram
 from .stall_detection import earliest_ready_time
 from .timers import TICK_NS, Timer, TimerWheel
 
@@ -29,6 +34,13 @@
 MAX_POLL_WAIT_NS = 100 * MS
 # A longer iteration, or a timer that expires later than this, is counted, and logged if traced.
 LATE_THRESHOLD_NS = 40 * MS
+# After this time without parking, a task is suspended at its next call of end_turn_if_due().
+TURN_BUDGET_NS = 1 * MS
+# Tasks that were suspended run while an iteration is younger than this; one of them always runs.
+ITERATION_BUDGET_NS = 4 * MS
+# A task or callback that runs longer is counted and logged with its name.
+SLOW_CALL_THRESHOLD_NS = 40 * MS
+SLOW_CALL_LOG_INTERVAL_NS = 1000 * MS  # between two log lines of slow calls
 POLL_RETRY_DELAY_S = 0.002  # after poll() failed
 WAKEUP_READ_BYTES = 512  # read at once from the wakeup socket, which holds one byte per signal
 TRACEBACK_FRAME_COUNT = 4  # innermost frames in the log line of an unexpected exception
@@ -38,11 +50,12 @@
 class Task:
     """A greenlet of the loop. Waking a parked task more than once has the same effect as once."""
 
-    __slots__ = ("background", "greenlet", "parked")
+    __slots__ = ("background", "greenlet", "name", "parked")
 
-    def __init__(self, task_greenlet: greenlet, background: bool):
+    def __init__(self, task_greenlet: greenlet, background: bool, name: str):
         self.greenlet = task_greenlet
         self.background = background
+        self.name = name
         self.parked = True
 
 
@@ -57,6 +70,9 @@
         self.wheel = TimerWheel(self.now())
         self.ready_tasks: deque[Task] = deque()
         self.ready_background_tasks: deque[Task] = deque()
+        self.suspended_tasks: deque[Task] = deque()  # their turns were over
+        self.turn_started_at = 0  # monotonic time in ns at which the current task was resumed
+        self.turns = 0  # tasks resumed so far
         self.hub = getcurrent()  # the greenlet that runs the loop
         self.current: Task | None = None
         self.after_iteration: list[Callable[[], None]] = []
@@ -64,6 +80,11 @@
         self.iterations = 0
         self.late_iterations = 0
         self.max_lag = 0  # ns
+        self.lag_histogram = LagHistogram()
+        self.turns_ended = 0  # tasks suspended by end_turn_if_due()
+        self.slow_calls = 0  # tasks and callbacks that ran longer than SLOW_CALL_THRESHOLD_NS
+        self.slow_call_logged_at = 0
+        self.log: Callable[[str], None] | None = None  # writes a line for a slow call
         self.errors = 0  # exceptions logged by report()
         self.last_poll_at = self.now()
         # What the last poll found ready may have been ready since then.
@@ -91,6 +112,7 @@
 
     def spawn(self, work: Callable[..., Any], *args: Any, background: bool = False) -> Task:
         """Start a task, which first runs in a later scheduling pass of the loop."""
+        name = getattr(work, "__qualname__", "task")
 
         def body() -> None:
             try:
@@ -98,9 +120,9 @@
             except ConnectionClosedError:
                 pass
             except Exception:
-                self.report(getattr(work, "__qualname__", "task"))
+                self.report(name)
 
-        task = Task(greenlet(body, self.hub), background)
+        task = Task(greenlet(body, self.hub), background, name)
         self.wake(task)
         return task
 
@@ -128,6 +150,21 @@
         self.current_task().parked = True
         self.hub.switch()
 
+    def end_turn_if_due(self) -> None:
+        """Suspend the current task behind the others if it has used up its turn.
+
+        It runs again without being woken. Callbacks of the loop are not suspended.
+        """
+        task = self.current
+        if task is None or time.monotonic_ns() - self.turn_started_at < TURN_BUDGET_NS:
+            return
+        self.turns_ended += 1
+        if task.background:
+            self.ready_background_tasks.append(task)
+        else:
+            self.suspended_tasks.append(task)
+        self.hub.switch()
+
     def current_task(self) -> Task:
         """Return the running task; only a task may wait."""
         assert self.current is not None, "only a task of the event loop may wait"
@@ -171,10 +208,11 @@
         if lag > LATE_THRESHOLD_NS:
             self.late_iterations += 1
         self.max_lag = max(self.max_lag, lag)
+        self.lag_histogram.record(lag)
 
     def poll_timeout_ms(self) -> int:
         """Return for how many milliseconds the next poll may wait."""
-        if self.ready_tasks or self.ready_background_tasks:
+        if self.ready_tasks or self.ready_background_tasks or self.suspended_tasks:
             return 0
         until_due = self.wheel.next_due_tick() * TICK_NS - self.now()
         return min(MAX_POLL_WAIT_NS // MS, max(0, -(-until_due // MS)))
@@ -221,6 +259,7 @@
         if self.ready_background_tasks:
             self.switch(self.ready_background_tasks.popleft())
             self.run_ready_tasks()
+        self.run_suspended_tasks(start)
         for callback in self.after_iteration:
             self.guard(callback)
         self.iterations += 1
@@ -232,18 +271,43 @@
         for _ in range(len(self.ready_tasks)):
             self.switch(self.ready_tasks.popleft())
 
+    def run_suspended_tasks(self, iteration_start: int) -> None:
+        """Run tasks whose turns were over, the first in any case, each once at most."""
+        for _ in range(len(self.suspended_tasks)):
+            self.switch(self.suspended_tasks.popleft())
+            if self.now() - iteration_start >= ITERATION_BUDGET_NS:
+                return
+
     def switch(self, task: Task) -> None:
-        """Run a task until it parks or ends."""
+        """Run a task until it parks, is suspended or ends."""
         self.current = task
+        self.turns += 1
+        started_at = time.monotonic_ns()
+        self.turn_started_at = started_at
         task.greenlet.switch()
         self.current = None
+        duration = time.monotonic_ns() - started_at
+        if duration > SLOW_CALL_THRESHOLD_NS:
+            self.note_slow_call(task.name, duration)
 
     def guard(self, call: Callable[..., None], *args: Any) -> None:
         """Call `call`; an exception is logged and not raised."""
+        started_at = time.monotonic_ns()
         try:
             call(*args)
         except Exception:
             self.report(getattr(call, "__qualname__", "call"))
+        duration = time.monotonic_ns() - started_at
+        if duration > SLOW_CALL_THRESHOLD_NS:
+            self.note_slow_call(getattr(call, "__qualname__", "call"), duration)
+
+    def note_slow_call(self, name: str, duration: int) -> None:
+        """Count a slow task or callback; log it, unless another was logged just before."""
+        self.slow_calls += 1
+        now = self.now()
+        if self.log and now - self.slow_call_logged_at >= SLOW_CALL_LOG_INTERVAL_NS:
+            self.slow_call_logged_at = now
+            self.log(f"slow-call name={name} ms={duration / MS:.1f} calls={self.slow_calls}")
 
     # ------------------------------------------------------------ operating system signals
 
--- a/claycross/net/http1.py
+++ b/claycross/net/http1.py
@@ -298,8 +298,8 @@
 
     def read_head(self) -> Head | None:
         """Parse the head, once it is complete."""
-        while self.buffer.startswith(LINE_END) and not self.responses:
-            self.buffer = self.buffer[len(LINE_END) :]  # RFC 9112, 2.2: ignored before a request
+        if not self.responses:
+            self.skip_empty_lines()
         end = self.buffer.find(HEAD_END)
         if end > MAX_HEAD or (end < 0 and len(self.buffer) > MAX_HEAD):
             raise MalformedMessageError(431, "the head is too large")
@@ -317,6 +317,14 @@
         self.choose_framing(head)
         return head
 
+    def skip_empty_lines(self) -> None:
+        """Remove the empty lines before a request, which are ignored (RFC 9112, 2.2)."""
+        start = 0
+        while self.buffer.startswith(LINE_END, start):
+            start += len(LINE_END)
+        if start:
+            self.buffer = self.buffer[start:]
+
     def check_partial_head(self) -> None:
         """Reject a partial head that is already malformed, as its end may never arrive.
 
