During a shutdown a late request is taken on only if its answer can end

Cause: RequestManager.accept limited the time to the first token to what was left of the shutdown; nobody asked when the answer would end.

Change: requests/shutdown_admission.py, pure. What comes over 0.55 s after SIGTERM (the platform allows 0.7; a signal handled late and a stall take the rest) may wait for its first token until the end less the longest its answer may take: the tokens it allows at its class's target pace, or at a slower measured one; 64 measured answers may lower this. What doesn't fit is rejected at once, with Connection: close. The request's own deadline moves, so waits, reads and retries are bound by it too.

--- a/claycross/frontends/base.py
+++ b/claycross/frontends/base.py
@@ -317,6 +317,7 @@
         """Read the next request; None when the connection is to be closed."""
         parser = inbox.parser
         start = self.loop.now()
+        is_buffered = True  # as a whole: nothing was read for it
         partial = PartialRequest(inbox.oldest_received_at())
         parts = inbox.next()
         waiting_state = ClientState.SILENT if first else ClientState.IDLE
@@ -324,7 +325,11 @@
         while True:
             request = self.assemble(connection, partial, parts)
             if request is not None:
+                request.completed_at = (
+                    inbox.last_received_at() if is_buffered else connection.received_at
+                )
                 return request
+            is_buffered = False
             idle = partial.head is None and parser.idle()
             if idle and self.closing_idle and not first and connection.is_idle():
                 self.manager.count("closed-draining")
--- a/claycross/frontends/chat.py
+++ b/claycross/frontends/chat.py
@@ -75,7 +75,8 @@
         ]
         payload = OutgoingRequest(head.method, head.target, headers, request.body)
         exchange = Exchange(self, connection, request.wants_close)
-        accepted = self.manager.accept(arrival, head.get("x-request-id"), payload, exchange)
+        key = head.get("x-request-id")
+        accepted = self.manager.accept(arrival, key, payload, exchange, request.completed_at)
         return AcceptedRequest(accepted, exchange)
 
     def answer_readiness(self, connection: Connection, request: ClientRequest) -> None:
--- a/claycross/frontends/exchange.py
+++ b/claycross/frontends/exchange.py
@@ -22,6 +22,7 @@
     head: Head
     body: bytes
     received_at: int  # when its first byte was received
+    completed_at: int = 0  # when its last byte was received
 
     @property
     def path(self) -> str:
--- a/claycross/frontends/inbox.py
+++ b/claycross/frontends/inbox.py
@@ -55,3 +55,7 @@
     def oldest_received_at(self) -> int:
         """Return when the first buffered byte was received; 0 if there is none."""
         return self.receive_times.oldest(len(self.parser.buffer))
+
+    def last_received_at(self) -> int:
+        """Return when the last byte before the buffered ones was received; 0 if unknown."""
+        return self.receive_times.before(len(self.parser.buffer))
--- a/claycross/gateway/gateway.py
+++ b/claycross/gateway/gateway.py
@@ -111,7 +111,7 @@
     def add_service(self, name: str, settings: Settings, connections: int) -> None:
         """Add the request manager and engine connections of a service."""
         manager = RequestManager(settings, self.config.seed, self.loop, self.log, name)
-        manager.list_freshness = self.parts.list_freshness
+        manager.arrivals.list_freshness = self.parts.list_freshness
         pool = ConnectionPool(
             self.loop, connections, settings.connection_idle_timeout // 2, settings.connect_timeout
         )
--- a/claycross/gateway/lifecycle.py
+++ b/claycross/gateway/lifecycle.py
@@ -12,7 +12,6 @@
 from functools import partial
 
 from ..config.settings import ConfigurationError, GatewayConfig
-from ..interface import ShutdownStarted
 from ..net.address import Address
 from ..net.loop import MS
 from ..recovery.shutdown_schedule import ShutdownSchedule
@@ -117,8 +116,7 @@
             parts.membership.stop(schedule.answered)
         self.log(f"stopping open={sum(len(manager.requests) for manager in parts.managers)}")
         for manager in parts.managers:
-            manager.stops_at = self.loop.now() + schedule.answered
-            manager.enqueue(ShutdownStarted())
+            manager.start_shutdown(schedule.unrestricted, schedule.answered)
         self.stop_frontends(schedule)
         self.loop.call_later(schedule.accepts, self.exit_when_finished)
         remaining = schedule.answered - schedule.hand_back
--- a/claycross/net/receive_timestamps.py
+++ b/claycross/net/receive_timestamps.py
@@ -42,3 +42,11 @@
         while self.records and self.records[0].end <= start:
             self.records.popleft()
         return self.records[0].received_at if self.records else 0
+
+    def before(self, pending: int) -> int:
+        """Return when the byte before the last `pending` bytes was received; 0 if unknown."""
+        end = self.total_bytes - pending
+        for record in self.records:
+            if record.end >= end:
+                return record.received_at
+        return 0
--- a/claycross/recovery/shutdown_schedule.py
+++ b/claycross/recovery/shutdown_schedule.py
@@ -17,6 +17,9 @@
 KILL_AFTER_DEADLINE_NS = 700 * MS
 # From the end of all replies to the kill, as the process may stall and clients may read slowly.
 ANSWER_MARGIN_NS = 400 * MS
+# What arrives later must not be under way at the kill. The platform allows 700 ms; the rest is for
+# a signal that is handled late, and for bytes that are taken for earlier ones after a stall.
+UNRESTRICTED_TIME_NS = 550 * MS
 # The clients' load balancer needs up to 400 ms to notice that this process is draining.
 ACCEPT_TIME_NS = 500 * MS
 # From the last accept of connections in the kernel's queue to the end of all replies.
@@ -32,6 +35,7 @@
     """The steps of a shutdown, in ns after SIGTERM."""
 
     accepts: int  # new connections are accepted until then
+    unrestricted: int  # requests that arrive later are accepted only if their answers can end
     accepts_queued: int  # connections in the kernel's queue are accepted until then
     hand_back: int  # streams that still run are ended from then on
     answered: int  # every request is answered and every stream has ended by then
@@ -48,6 +52,7 @@
         hand_back_span = min(HAND_BACK_SPAN_NS, int(MAX_HAND_BACK_SHARE * answered))
         return ShutdownSchedule(
             accepts=accepts,
+            unrestricted=min(UNRESTRICTED_TIME_NS, answered),
             accepts_queued=max(accepts, answered - QUEUE_MARGIN_NS),
             hand_back=answered - hand_back_span,
             answered=answered,
--- a/claycross/requests/manager.py
+++ b/claycross/requests/manager.py
@@ -14,9 +14,9 @@
 from typing import Any
 
 from .. import interface as i
-from ..discovery.list_freshness import ListFreshness
 from ..invariant import invariant
 from . import preconditions
+from .arrivals import ArrivalControl
 from .attempt_checks import AttemptChecks
 from .endpoint_directory import EndpointDirectory
 from .engine_protocol import EngineCalls
@@ -54,12 +54,11 @@
         super().__init__(settings, seed, clock, log)
         self.settings = settings
         self.name = name
-        self.list_freshness: ListFreshness | None = None  # None: the list is always fresh
-        self.awaiting_list: dict[int, i.RequestArrived] = {}  # arrived before the list was fresh
         generator = random.Random(seed)
         self.registry = RequestRegistry(generator)
         self.requests = self.registry.requests
         self.stops_at = 0  # when a stopping gateway has answered everything; 0: it is not stopping
+        self.arrivals = ArrivalControl(settings, clock, self.enqueue, self._reject_unsent)
         self.metrics = RequestMetrics(settings.classes, clock, log)
         self.counts = self.metrics.counts
         self.reply_counts = self.metrics.reply_counts
@@ -147,13 +146,28 @@
         """Record that the result of an attempt is about to be reported to the router."""
         self.requests[event.request].unreported_attempts -= 1
 
+    def start_shutdown(self, unrestricted_for: int, ends_in: int) -> None:
+        """Take on only what can be answered in time; see ArrivalControl.start_shutdown()."""
+        self.stops_at = self.clock.now() + ends_in
+        self.arrivals.start_shutdown(unrestricted_for, ends_in)
+        self.enqueue(i.ShutdownStarted())
+
     # ------------------------------------------------------------ the client's side
 
-    def accept(self, arrival: i.RequestArrived, key: str, payload: Any, reply: Reply) -> Request:
-        """Accept a request from a frontend; its single answer goes to `reply`."""
+    def accept(
+        self,
+        arrival: i.RequestArrived,
+        key: str,
+        payload: Any,
+        reply: Reply,
+        received_at: int = 0,
+    ) -> Request:
+        """Accept a request from a frontend; its single answer goes to `reply`.
+
+        `received_at`: when its last byte arrived; 0: now.
+        """
         now = self.clock.now()
-        if self.stops_at:  # a request accepted during shutdown is answered before its end
-            arrival.time_left = max(0, min(arrival.time_left, self.stops_at - now))
+        fits = self.arrivals.fits(arrival, received_at or now)
         arrival.request = self.registry.next_number()
         request = Request(
             number=arrival.request,
@@ -164,50 +178,30 @@
             states=ReservedStates(self.settings.release_within),
             class_name=arrival.class_name,
             prompt_tokens=arrival.prompt_tokens,
+            max_output_tokens=arrival.max_output_tokens,
             arrived_at=now,
         )
         self.registry.add(request)
         self.metrics.request_arrived(request, arrival)
-        self._enqueue_arrival(request, arrival)
+        if fits:
+            self.arrivals.admit(request, arrival)
+        else:
+            # Later, as the frontend does not know the request before this returns.
+            self.clock.call_later(0, partial(self.arrivals.reject_during_shutdown, request))
         # Ensures an answer in time even if the router fails to answer the request.
         request.deadline_timer = self.clock.call_later(
             arrival.time_left + DEADLINE_GUARD_NS, partial(self.deadline_passed, request)
         )
         return request
 
-    def _enqueue_arrival(self, request: Request, arrival: i.RequestArrived) -> None:
-        """Report the arrival to the router, now or once the endpoint list is fresh."""
-        wait = 0
-        if self.list_freshness:
-            wait = self.list_freshness.wait(self.clock.now(), arrival.time_left)
-        if not wait:
-            self.enqueue(arrival)
-            return
-        self.awaiting_list[request.number] = arrival
-        self.clock.call_later(wait, partial(self.list_wait_expired, request))
-
     def admit_waiting(self) -> None:
         """If the endpoint list is fresh, report the requests that waited for it to the router."""
-        if not self.awaiting_list or not self.list_freshness:
-            return
-        if not self.list_freshness.may_send(self.clock.now()):
-            return
-        waiting = self.awaiting_list
-        self.awaiting_list = {}
-        for number, arrival in waiting.items():
-            arrival.time_left = max(0, self.requests[number].deadline - self.clock.now())
-            self.enqueue(arrival)
-
-    def list_wait_expired(self, request: Request) -> None:
-        """Reject a request that has waited for a fresh endpoint list for as long as it may."""
-        self.admit_waiting()
-        if not self.awaiting_list.pop(request.number, None):
-            return
-        self.count("unconfirmed")
-        retry_after = 0
-        if self.settings.sends_retry_after and self.list_freshness:
-            remaining = self.list_freshness.remaining(self.clock.now())
-            retry_after = min(remaining, self.settings.max_retry_after)
+        self.arrivals.admit_waiting()
+
+    def _reject_unsent(self, request: Request, counter: str, retry_after: int) -> None:
+        """Reject a request of which nothing has run."""
+        self.count(counter)
+        self.metrics.request_rejected(request, counter, retry_after)
         self.finish_request(request, RequestEnd.REJECTED)
         request.reply.reject(retry_after)
         self.enqueue(i.RequestAbandoned(request.number))
@@ -342,6 +336,7 @@
         self.state_releases.answer_started(request)
         if attempt.timer:
             attempt.timer.cancel()
+        self.arrivals.shutdown.record_first_token(request.class_name, request.time_to_first_token)
         elapsed = now - attempt.started_at
         self.enqueue(i.StreamStarted(request.number, attempt.number, attempt.engine, elapsed))
         return True
@@ -402,6 +397,11 @@
             self.finish_attempt(attempt, result, cached_tokens, report)
             return
         is_complete = result == i.AttemptResult.OK
+        if is_complete:
+            duration = self.clock.now() - request.arrived_at - request.time_to_first_token
+            self.arrivals.shutdown.record_answer(
+                request.class_name, request.max_output_tokens, duration
+            )
         self.finish_request(request, RequestEnd.SERVED if is_complete else RequestEnd.STREAM_BROKEN)
         self.finish_attempt(attempt, result, cached_tokens, report)
         request.reply.finish(is_complete)
@@ -417,7 +417,7 @@
         if not invariant(not request.finished, "one-end", f"request {request.key} {end}"):
             return
         request.finished = True
-        self.awaiting_list.pop(request.number, None)
+        self.arrivals.forget(request)
         self.metrics.request_finished(request, end, self.clock.now())
         for attempt in request.attempts:
             if attempt.connecting():
--- a/claycross/requests/records.py
+++ b/claycross/requests/records.py
@@ -40,6 +40,7 @@
     states: ReservedStates
     class_name: str
     prompt_tokens: int
+    max_output_tokens: int  # the longest answer that the client allows; 0: unknown
     arrived_at: int
     time_to_first_token: int = 0  # ns from the arrival
     attempts: list[Attempt] = field(default_factory=list)
--- /dev/null
+++ b/claycross/requests/shutdown_admission.py
@@ -0,0 +1,122 @@
+"""Whether a request that arrives during a shutdown can be answered before the process ends.
+
+A process that stops is killed at a time that it knows. A request is taken on only if its answer can
+end before that. The upper bound of an answer's duration is the length that the request allows, at
+the pace of its class: the target of the settings, or a slower pace that was measured. Measured
+answers may lower the bound once there are enough of them. This module does no I/O and reads no
+clock; times are nanoseconds.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from ..interface import RequestClass
+
+# Answers of a class that are kept as measurements; older ones are dropped.
+MAX_MEASURED_ANSWERS = 256
+# From this number on, measured answers may lower the bound of the settings.
+MIN_ANSWERS_FOR_LOWER_BOUND = 64
+# Multiple of the slowest measured answer that such a bound is.
+MEASURED_BOUND_MARGIN = 1.5
+FIRST_TOKEN_GAIN = 0.1  # weight of a new measurement of the time to the first token
+
+
+class AnswerTimes:
+    """Measurements of the answers of one class of requests."""
+
+    def __init__(self) -> None:
+        # Duration of each answer divided by the number of tokens that its request allowed, in ns.
+        self.paces: deque[float] = deque(maxlen=MAX_MEASURED_ANSWERS)
+        self.first_token_time = 0.0  # a moving average, in ns; 0: nothing was measured
+
+    def record_first_token(self, elapsed: int) -> None:
+        """Record the time from a request's arrival to its first token."""
+        gain = FIRST_TOKEN_GAIN if self.first_token_time else 1.0
+        self.first_token_time += gain * (elapsed - self.first_token_time)
+
+    def record_answer(self, max_output_tokens: int, duration: int) -> None:
+        """Record the time from the first token of a complete answer to its end."""
+        if max_output_tokens > 0:
+            self.paces.append(duration / max_output_tokens)
+
+    def pace_bound(self, objective: int) -> float | None:
+        """Return the slowest pace to expect, in ns per allowed token; None if it is unknown.
+
+        `objective`: the class's token interval of the settings; 0: none.
+        """
+        slowest = max(self.paces, default=0.0)
+        if len(self.paces) >= MIN_ANSWERS_FOR_LOWER_BOUND:
+            return MEASURED_BOUND_MARGIN * slowest
+        return max(float(objective), slowest) if objective else None
+
+
+class ShutdownAdmission:
+    """Limits what a stopping process takes on to what can end before it is killed."""
+
+    def __init__(self) -> None:
+        self.answer_times: dict[str, AnswerTimes] = {}  # by the name of the class
+        self.restricted_from = 0  # requests that arrive later are restricted; 0: not stopping
+        self.ends_at = 0  # when every answer has to have ended
+
+    def start(self, restricted_from: int, ends_at: int) -> None:
+        """Note when the shutdown ends, and from when on what arrives has to end before that."""
+        self.restricted_from = restricted_from
+        self.ends_at = ends_at
+
+    def times_of(self, class_name: str) -> AnswerTimes:
+        """Return the measurements of a class."""
+        return self.answer_times.setdefault(class_name, AnswerTimes())
+
+    def record_first_token(self, class_name: str, elapsed: int) -> None:
+        """Record the time from a request's arrival to its first token."""
+        self.times_of(class_name).record_first_token(elapsed)
+
+    def record_answer(self, class_name: str, max_output_tokens: int, duration: int) -> None:
+        """Record the time from the first token of a complete answer to its end."""
+        self.times_of(class_name).record_answer(max_output_tokens, duration)
+
+    def answer_bound(self, request_class: RequestClass, max_output_tokens: int) -> int | None:
+        """Return the longest time from an answer's first token to its end; None if unknown.
+
+        An answer that is not streamed is sent as a whole.
+        """
+        if not request_class.streaming:
+            return 0
+        times = self.times_of(request_class.name)
+        pace = times.pace_bound(request_class.token_interval_objective)
+        if pace is None or not max_output_tokens:
+            return None
+        return round(pace * max_output_tokens)
+
+    def time_for_first_token(
+        self,
+        request_class: RequestClass,
+        max_output_tokens: int,
+        time_left: int,
+        arrived_at: int,
+        now: int,
+    ) -> int:
+        """Return for how long a request may wait for its first token, from now on.
+
+        Returns 0 if it must not be taken on. What begins by then ends in time, however long the
+        request has waited and however many attempts it took.
+
+        Args:
+            request_class: The class of the request.
+            max_output_tokens: The length of the answer that it allows; 0: unknown.
+            time_left: For how long its client still waits for the first token.
+            arrived_at: When its last byte arrived.
+            now: The present time.
+        """
+        if not self.ends_at:
+            return time_left
+        remaining = self.ends_at - now
+        if arrived_at < self.restricted_from:
+            return max(0, min(time_left, remaining))
+        bound = self.answer_bound(request_class, max_output_tokens)
+        if bound is None:
+            return 0
+        wait = min(time_left, remaining - bound)
+        expected = self.times_of(request_class.name).first_token_time
+        return wait if wait > expected else 0
--- a/claycross/upstream/responses.py
+++ b/claycross/upstream/responses.py
@@ -12,7 +12,8 @@
 
 from ..config.settings import read_report
 from ..interface import AttemptResult, LoadReport
-from ..net.http1 import EventStreamParser, MalformedMessageError
+from ..net.event_stream import EventStreamParser
+from ..net.http1 import MalformedMessageError
 from ..net.loop import MS, ConnectionClosedError
 from ..requests.manager import Attempt, RequestManager
 from .interface import AttemptEnd, OutgoingRequest
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -19,10 +19,11 @@
         + KILL_AFTER_DEADLINE_NS
     )
     assert 0 < times.accepts <= times.accepts_queued <= times.answered <= kill - 300 * MS
+    assert 0 < times.unrestricted <= min(times.answered, 550 * MS)
     assert 0 < times.hand_back < times.answered
 
 
 def test_usual_deadlines_have_the_usual_times():
     assert ShutdownSchedule.for_deadlines([6 * SECOND, 15 * SECOND]) == ShutdownSchedule(
-        500 * MS, 3000 * MS, 2400 * MS, 3300 * MS
+        500 * MS, 550 * MS, 3000 * MS, 2400 * MS, 3300 * MS
     )
--- a/tests/gateway/test_stop_with_waiting.py
+++ b/tests/gateway/test_stop_with_waiting.py
@@ -6,7 +6,7 @@
 import pytest
 
 from claycross.emulator.system_faults import Field, SystemFaults
-from standins.servers import Engine, eventually, passes
+from standins.servers import EVENTS, Engine, eventually, passes
 from tests.frontends.test_pipelining import HeldWriter, request
 
 
@@ -78,3 +78,32 @@
     faults.clear()
     assert {c.answer().status for c in clients} <= {200, 503}
     assert s.process.wait(8) == 0
+
+
+@pytest.mark.parametrize(("allowed", "status"), [(60, 503), (4, 200)])
+def test_a_request_that_comes_late_is_taken_on_only_if_its_answer_can_end(site, allowed, status):
+    """Guards against a stream that is taken on during the shutdown and cut off by the kill: review
+    case 3. Its first byte comes before the signal, its last one 0.9 s after it."""
+
+    def write_slowly(engine, message, wire):
+        wire.begin()
+        for _ in range(allowed):
+            wire.event(EVENTS[0])
+            passes(0.06)
+        wire.event(EVENTS[-1])
+        wire.end()
+
+    writer = Engine("d", plan=write_slowly)
+    s = site(Engine("p"), writer, release=True, family={"token-aim": [60_000_000] * 2})
+    message = request("late").replace(b"max_out=50", b"max_out=%d" % allowed)
+    with s.client() as c:
+        c.sock.sendall(message[:50])
+        passes(0.1)
+        s.process.send_signal(signal.SIGTERM)
+        passes(0.9)
+        c.sock.sendall(message[50:])
+        answer = c.answer()
+        assert (answer.status, answer.whole) == (status, True)
+        assert answer["connection"] == "close" and c.to_end() == b""
+    assert len(writer.asked) == (status == 200)
+    assert s.process.wait(8) == 0
