Soak: a client floods a gateway once in each run, and others must not be delayed

Each run has one client that sends readiness checks without a pause for 0.6 to 1.1 s before its first storm, drawn apart from the other faults so that the plans of the seeds stay as they were. Beside it checks on new connections have to be answered within 0.3 s, the time in which events are passed on, and the soak's own lag. With the budget of turns switched off the rule is broken (planted in a test).

--- a/claycross/emulator/fault_plan.py
+++ b/claycross/emulator/fault_plan.py
@@ -17,6 +17,7 @@
     3.0,
 )  # seconds; the last one so long before the load's end
 PAIRED_STORM = 3.2  # seconds; the storm that each run has
+FLOOD_AT = 0.3  # seconds; it ends before the first storm
 OVERLAP = 0.8  # seconds within which the troubles of a storm begin
 MOST_OUT = 3  # engines drained, killed or replaced in a run, of a role at most
 SERIES = 4  # of signals, by number
@@ -52,6 +53,7 @@
     # Engines of a zone process requests of gateways of another; the responses are lost and the
     # connections reset.
     RESPONSE_LOST = "response-lost"
+    FLOOD = "flood"  # a client sends requests without a pause and reads all answers
 
 
 # Troubles at gateways: each storm has them at different ones.
@@ -69,7 +71,9 @@
     FaultKind.BAN,
     FaultKind.DRAIN_GATEWAY,
 )
-RANDOM_KINDS = [kind for kind in FaultKind if kind is not FaultKind.RESPONSE_LOST]
+# Kinds that each run has once, drawn apart from the others.
+FIXED_KINDS = (FaultKind.RESPONSE_LOST, FaultKind.FLOOD)
+RANDOM_KINDS = [kind for kind in FaultKind if kind not in FIXED_KINDS]
 ENGINES = (
     FaultKind.ENGINE_DRAIN,
     FaultKind.ENGINE_RESTART,
@@ -90,6 +94,7 @@
     FaultKind.CUT: (0.5, 2.5),
     FaultKind.RESET: (0.2, 1.0),
     FaultKind.RESPONSE_LOST: (0.3, 1.5),
+    FaultKind.FLOOD: (0.6, 1.1),
     FaultKind.KILL: (0.05, 0.6),
 }
 
@@ -126,6 +131,7 @@
     """All troubles of a run, in time. `engines`: names such as "prefill-3"."""
     rng, spent = random.Random(f"troubles {seed}"), dict[str, set[str]]()
     troubles = paired_storm(random.Random(f"paired storm {seed}"), engines, zones)
+    troubles.append(draw_flood(random.Random(f"flood {seed}"), gateways))
     at = FIRST_STORM
     while at < seconds - LAST_STORM:
         free = list(range(gateways))
@@ -182,6 +188,12 @@
     return storm
 
 
+def draw_flood(rng: random.Random, gateways: int) -> PlannedFault:
+    """Draw a client that sends without a pause to one gateway."""
+    span = round(rng.uniform(*SPANS[FaultKind.FLOOD]), 2)
+    return PlannedFault(FLOOD_AT, FaultKind.FLOOD, span, (rng.randrange(gateways),))
+
+
 def pick_engine(rng: random.Random, engines: list[str], spent: dict[str, set[str]]) -> str:
     """One that no trouble had before; none once a role has had MOST_OUT."""
     fit = [
--- a/claycross/emulator/invariant_checkers.py
+++ b/claycross/emulator/invariant_checkers.py
@@ -89,6 +89,15 @@
     excused: bool = False
 
 
+@dataclass(slots=True)
+class ReadinessCheck:
+    """One readiness check of a gateway beside a client that floods it."""
+
+    gateway: int
+    sent: float
+    closed: float = 0.0  # when its answer or the end of its connection had come
+
+
 @dataclass(slots=True)
 class RunRecord:
     """All that a soak saw."""
@@ -112,6 +121,7 @@
     )  # when, and how late the soak itself was
     reserved_states: list[ReservedState] = field(default_factory=list)
     misbehaving_clients: list[MisbehavingClient] = field(default_factory=list)
+    readiness_checks: list[ReadinessCheck] = field(default_factory=list)
     states_left: list[str] = field(
         default_factory=list
     )  # requests whose state was left at an engine at the end
@@ -325,6 +335,15 @@
     ]
 
 
+def answers_beside_flood(record: RunRecord) -> list[str]:
+    """A gateway that a client floods answers others as soon as it has to pass on events."""
+    return [
+        f"g{c.gateway} after {c.closed - c.sent:.2f} s"
+        for c in record.readiness_checks
+        if c.closed - c.sent > PASSED_ON_WITHIN + record.lag(c.sent, c.closed)
+    ]
+
+
 def nothing_read_is_dropped(record: RunRecord) -> list[str]:
     """A request whose connection ended between two requests is sent once more; it was not read, so
     that it reached no engine, but where its gateway was killed.
@@ -363,6 +382,7 @@
     "what is held is used or let go in time": states_used_or_released_in_time,
     "events are passed on at once": events_forwarded_in_time,
     "bad clients are ended in time": misbehaving_clients_closed,
+    "a client that floods delays no other": answers_beside_flood,
     "no request that was read is dropped": nothing_read_is_dropped,
     "no engine falls in slow start": no_engine_overloaded,
     "processes live": processes_live,
@@ -412,6 +432,7 @@
         "what is held is used or let go in time": interrupted_reads(record),
         "events are passed on at once": sum(a.how == "served" for a in answered),
         "bad clients are ended in time": sum(not b.excused for b in record.misbehaving_clients),
+        "a client that floods delays no other": len(record.readiness_checks),
         "no request that was read is dropped": sum(
             a.how == "crossed" for a in record.client_requests
         ),
--- a/claycross/emulator/soak_test.py
+++ b/claycross/emulator/soak_test.py
@@ -31,6 +31,7 @@
 from .fault_proxy import Fault, PortReservation
 from .fault_scenario import FaultScenario, ScenarioFile, play_load
 from .fleet_file import plain_fleet
+from .flooding_client import flood
 from .invariant_checkers import (
     ClientRequest,
     EngineAttempt,
@@ -43,9 +44,8 @@
 from .soak_report import RunSummary, report
 from .system_faults import Field, SystemFaults
 
-EXCUSED_AROUND = (
-    0.05  # seconds before and after a gateway's death in which its requests are excused
-)
+# Seconds before and after a gateway's death in which its requests are excused.
+EXCUSED_AROUND = 0.05
 AFTER_STOP = 0.5  # seconds until a gateway that was stopped has caught up
 ENDS_WITHIN = 8.0  # seconds after SIGTERM, where nobody kills
 # SIGKILL comes so long after the longest deadline, counted as 3 s at most; what came within the
@@ -59,16 +59,11 @@
 )
 SIGNAL_GAP = 0.03  # seconds between two of a series, at most
 CROWD = 480  # idle connections, about as many as a gateway takes
-HANG_TIMES, HANG_SHARE, HANG_PAUSE = (
-    3,
-    0.8,
-    0.4,
-)  # of a role that hangs: times, share, seconds between
+# Of a role that hangs: times, share, seconds between.
+HANG_TIMES, HANG_SHARE, HANG_PAUSE = 3, 0.8, 0.4
 STAYS_FOR = 4.0  # seconds that a client goes on asking on one connection
-SHORT_EVERY, LARGE_EVERY = (
-    4,
-    10,
-)  # of the seeds: with short deadlines; with many engines and few gateways
+# Of the seeds: with short deadlines; with many engines and few gateways.
+SHORT_EVERY, LARGE_EVERY = 4, 10
 SHORT_DEADLINE = 1.2  # seconds
 LARGE_ENGINES, LARGE_GATEWAYS = 2000, 2
 READY_WITHIN = 10.0
@@ -106,9 +101,8 @@
         super().__init__(folder, file, not cooperation, cooperation)
         self.shims = [SystemFaults(folder, f"g{n}") for n in range(file.gateways)]
         self.doors: list[str] = []
-        self.discoveries: list[
-            tuple[str, str]
-        ] = []  # of each gateway: two ways to the one discovery
+        # Of each gateway: two ways to the one discovery.
+        self.discoveries: list[tuple[str, str]] = []
         self.deadline = 0.0  # of all classes; 0: the usual ones
 
     def settings(self, n: int) -> dict[str, object]:
@@ -181,6 +175,7 @@
             FaultKind.DISK: self.disk,
             FaultKind.BAN: self.ban,
             FaultKind.DRAIN_GATEWAY: self.drain_gateway,
+            FaultKind.FLOOD: self.flood,
         }
 
     # ------------------------------------------------------------ troubles
@@ -319,6 +314,9 @@
         for sock in idle:
             sock.close()
 
+    def flood(self, t: PlannedFault, n: int) -> None:
+        self.record.readiness_checks += flood(n, self.fleet.fronts[n], t.span)
+
     def end(self, n: int) -> None:
         part = self.fleet.gateways[n]
         try:
--- a/tests/emulator/test_soak_test.py
+++ b/tests/emulator/test_soak_test.py
@@ -13,6 +13,7 @@
     ClientRequest,
     EngineAttempt,
     MisbehavingClient,
+    ReadinessCheck,
     ReservedState,
     RunRecord,
     all_hold,
@@ -77,6 +78,7 @@
             MisbehavingClient(0, 10.0, 12.9),
             MisbehavingClient(1, 10.0, 14.0, excused=True),
         ],
+        readiness_checks=[ReadinessCheck(0, 10.0, 10.29)],
         lags=[(40.0, 9.0)],
     )  # of another moment: it widens nothing
 
@@ -145,6 +147,10 @@
             "bad clients are ended in time",
             lambda r: setattr(r.misbehaving_clients[0], "closed", 13.1),
         ),
+        (
+            "a client that floods delays no other",
+            lambda r: setattr(r.readiness_checks[0], "closed", 10.35),
+        ),
         (
             "no request that was read is dropped",
             lambda r: add(
@@ -314,6 +320,22 @@
     assert re.search(r"BROKEN +drained engines get nothing new", done.stdout), done.stdout[-4000:]
 
 
+# The tasks of the gateways never give way.
+ENDLESS_TURNS = """
+import sys
+if "serve" in sys.argv:
+    from claycross.net import event_loop
+    event_loop.TURN_BUDGET_NS = 10**18
+"""
+
+
+def test_gateways_whose_tasks_never_give_way_are_found(tmp_path):
+    (tmp_path / "sitecustomize.py").write_text(ENDLESS_TURNS)
+    done = soak("--seeds", "1", PYTHONPATH=f"{tmp_path}{os.pathsep}{ROOT}")
+    assert done.returncode == 1, done.stdout[-4000:]
+    assert "BROKEN  a client that floods delays no other" in done.stdout, done.stdout[-4000:]
+
+
 @pytest.mark.parametrize("seeds", ["x", "1-", "5-1", ""])
 def test_seeds_that_are_none_are_a_clear_error(seeds):
     done = soak("--seeds", seeds)
