One end of a shutdown, and one place where a connection's task gives way

A class that is not in the settings was no longer limited by the shutdown's end, as it had been; frontends turn such away, so no caller met it. A frontend gives way at the end of its loop, where the loop asks for the connection again anyway; serve_request needs no check of its own.

--- a/claycross/frontends/base.py
+++ b/claycross/frontends/base.py
@@ -208,6 +208,8 @@
                     if not self.answer_error(connection, inbox, error, consecutive_errors):
                         break
                     consecutive_errors = min(consecutive_errors + 1, MAX_CONSECUTIVE_ERRORS)
+                # A buffered pipelined request is answered without a read from the socket.
+                self.loop.end_turn_if_due()
         except MalformedMessageError as error:
             self.manager.count("malformed")
             self.send_error(connection, RequestError(error.status, str(error)))
@@ -294,10 +296,8 @@
         Raises:
             RequestError: If the request is answered with an error.
         """
-        # A pipelined request that is buffered is answered without a read from the socket.
-        self.loop.end_turn_if_due()
         request = self.read_request(connection, inbox, first)
-        if request is None or connection.closed:
+        if request is None:
             return False
         self.set_state(connection, ClientState.BUSY)
         accepted = self.handle_request(connection, request)
--- a/claycross/requests/arrivals.py
+++ b/claycross/requests/arrivals.py
@@ -62,9 +62,9 @@
 
         `received_at`: when the last byte of the request arrived.
         """
-        spec = self.settings.classes.get(arrival.class_name)
-        if not self.shutdown.ends_at or spec is None:
+        if not self.shutdown.ends_at:
             return True
+        spec = self.settings.classes.get(arrival.class_name)
         time_left = self.shutdown.time_for_first_token(
             spec, arrival.max_output_tokens, arrival.time_left, received_at, self.clock.now()
         )
--- a/claycross/requests/manager.py
+++ b/claycross/requests/manager.py
@@ -57,7 +57,6 @@
         generator = random.Random(seed)
         self.registry = RequestRegistry(generator)
         self.requests = self.registry.requests
-        self.stops_at = 0  # when a stopping gateway has answered everything; 0: it is not stopping
         self.arrivals = ArrivalControl(settings, clock, self.enqueue, self._reject_unsent)
         self.metrics = RequestMetrics(settings.classes, clock, log)
         self.counts = self.metrics.counts
@@ -88,6 +87,11 @@
     def engine_calls(self, engine_calls: EngineCalls) -> None:
         self.state_releases.in_flight.engine_calls = engine_calls
 
+    @property
+    def stops_at(self) -> int:
+        """When a stopping gateway has answered everything; 0: it is not stopping."""
+        return self.arrivals.shutdown.ends_at
+
     @property
     def attempts_sent(self) -> int:
         """Attempts that were completely written to engines."""
@@ -148,7 +152,6 @@
 
     def start_shutdown(self, unrestricted_for: int, ends_in: int) -> None:
         """Take on only what can be answered in time; see ArrivalControl.start_shutdown()."""
-        self.stops_at = self.clock.now() + ends_in
         self.arrivals.start_shutdown(unrestricted_for, ends_in)
         self.enqueue(i.ShutdownStarted())
 
--- a/claycross/requests/shutdown_admission.py
+++ b/claycross/requests/shutdown_admission.py
@@ -76,11 +76,15 @@
         """Record the time from the first token of a complete answer to its end."""
         self.times_of(class_name).record_answer(max_output_tokens, duration)
 
-    def answer_bound(self, request_class: RequestClass, max_output_tokens: int) -> int | None:
+    def answer_bound(
+        self, request_class: RequestClass | None, max_output_tokens: int
+    ) -> int | None:
         """Return the longest time from an answer's first token to its end; None if unknown.
 
         An answer that is not streamed is sent as a whole.
         """
+        if request_class is None:
+            return None
         if not request_class.streaming:
             return 0
         times = self.times_of(request_class.name)
@@ -91,7 +95,7 @@
 
     def time_for_first_token(
         self,
-        request_class: RequestClass,
+        request_class: RequestClass | None,
         max_output_tokens: int,
         time_left: int,
         arrived_at: int,
@@ -103,7 +107,7 @@
         request has waited and however many attempts it took.
 
         Args:
-            request_class: The class of the request.
+            request_class: The class of the request; None: unknown.
             max_output_tokens: The length of the answer that it allows; 0: unknown.
             time_left: For how long its client still waits for the first token.
             arrived_at: When its last byte arrived.
@@ -115,7 +119,7 @@
         if arrived_at < self.restricted_from:
             return max(0, min(time_left, remaining))
         bound = self.answer_bound(request_class, max_output_tokens)
-        if bound is None:
+        if request_class is None or bound is None:
             return 0
         wait = min(time_left, remaining - bound)
         expected = self.times_of(request_class.name).first_token_time
