--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -253,7 +253,8 @@
             self.process.wait()
         for line in self.log().splitlines() if (self.folder / "log").exists() else []:
             if "stats" not in line:
-                self.record.write(f"gateway log: {line[:300]}")
+                shown = line.replace(str(self.state_folder), "TMPDIR")
+                self.record.write(f"gateway log: {shown[:300]}")
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from deployment import Record, end_process
+from deployment import ROOT, Record, end_process
 
 from standins.servers import Discovery
 
@@ -102,7 +102,7 @@
             )
         return play(record, engines)
     except Exception:
-        for line in traceback.format_exc().splitlines():
+        for line in traceback.format_exc().replace(str(ROOT), "ROOT").splitlines():
             record.write(line)
         return 2
     finally:
