--- a/review/10/run.py
+++ b/review/10/run.py
@@ -11,6 +11,7 @@
 from deployment import settings as small_settings
 from fleet import EngineGroup, EngineProcess, discovery_of, run_case
 
+RECORD = Path(__file__).with_name("record.txt")
 READERS, WRITERS = 2, 2
 READ_S = 1.0  # of a reader for a prompt
 FOLLOW_AT_S = 0.3  # after the `licence` request
@@ -82,4 +83,4 @@
         EngineGroup("prefill", "read", READ_S, READERS),
         EngineGroup("decode", "write", 0.05, WRITERS),
     ]
-    sys.exit(run_case(Path(__file__).resolve().parent, groups, play))
+    sys.exit(run_case(RECORD, groups, play))
--- a/review/6/run.py
+++ b/review/6/run.py
@@ -12,6 +12,7 @@
 from deployment import settings as small_settings
 from fleet import EngineGroup, EngineProcess, discovery_of, run_case
 
+RECORD = Path(__file__).with_name("record.txt")
 ENGINES = 3
 WORK_S = 2.6  # until the first token; 50,000 prompt tokens at about 19,000 tokens a second
 KEY_TTL_S = 3.0
@@ -114,7 +115,7 @@
 
     try:
         gateway.start()
-        task = threading.Thread(target=client)
+        task = threading.Thread(target=client, daemon=True)
         task.start()
         first = first_run(engines)
         if TROUBLE:
@@ -131,4 +132,4 @@
 
 if __name__ == "__main__":
     groups = [EngineGroup("decode", "both", WORK_S, ENGINES)]
-    sys.exit(run_case(Path(__file__).resolve().parent, groups, play))
+    sys.exit(run_case(RECORD, groups, play))
--- a/review/7/run.py
+++ b/review/7/run.py
@@ -13,6 +13,7 @@
 from deployment import settings as small_settings
 from fleet import EngineGroup, EngineProcess, discovery_of, run_case
 
+RECORD = Path(__file__).with_name("record.txt")
 MEMORY_MB = 192  # the page: "at most 192 MB and 1,024 descriptors"
 SOCKETS = 1024
 BAD_CLIENTS = 60  # the page: "many bad clients, also such that send much at once and go"
@@ -124,7 +125,7 @@
         platform = Platform(gateway, record)
         platform.start()
         clients = GoodClients(gateway.address, record)
-        load = threading.Thread(target=clients.run, args=(platform,))
+        load = threading.Thread(target=clients.run, args=(platform,), daemon=True)
         load.start()
         time.sleep(TROUBLE_AT_S)
         for number in range(BAD_CLIENTS if TROUBLE else 0):
@@ -149,4 +150,4 @@
         EngineGroup("prefill", "read", 0.05, READERS),
         EngineGroup("decode", "write", 0.1, WRITERS),
     ]
-    sys.exit(run_case(Path(__file__).resolve().parent, groups, play))
+    sys.exit(run_case(RECORD, groups, play))
--- a/review/9/run.py
+++ b/review/9/run.py
@@ -13,6 +13,7 @@
 from deployment import settings as small_settings
 from fleet import EngineGroup, EngineProcess, discovery_of, run_case
 
+RECORD = Path(__file__).with_name("record.txt")
 READERS, WRITERS = 2, 2
 CLIENTS = 8
 CONNECT_AT_S = 0.2  # after SIGTERM; the page: new connections arrive for 0.2 to 0.4 s
@@ -99,7 +100,8 @@
         record.write("SIGTERM")
         clients = [Client(number, gateway.address) for number in range(CLIENTS)]
         tasks = [
-            threading.Thread(target=client.run, args=(terminated_at, record)) for client in clients
+            threading.Thread(target=client.run, args=(terminated_at, record), daemon=True)
+            for client in clients
         ]
         for task in tasks:
             task.start()
@@ -128,4 +130,4 @@
         EngineGroup("prefill", "read", 0.03, READERS),
         EngineGroup("decode", "write", 0.03, WRITERS, PACE_S),
     ]
-    sys.exit(run_case(Path(__file__).resolve().parent, groups, play))
+    sys.exit(run_case(RECORD, groups, play))
--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -112,10 +112,10 @@
 
 
 class Record:
-    """Writes the lines of `record.txt`, with the seconds since the start."""
+    """Writes the lines of a case's `record.txt`, with the seconds since the start."""
 
-    def __init__(self, folder: Path):
-        self.file = (folder / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, path: Path):
+        self.file = path.open("w", encoding="utf-8")
         self.lock = threading.Lock()
         self.started_at = time.monotonic()
         self.write(f"trouble={int(TROUBLE)}")
--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import subprocess
 import sys
 import threading
@@ -15,6 +16,8 @@
 
 from standins.servers import Discovery
 
+MAX_RUN_S = 110  # a case is ended then; the issue allows 120 s
+ENDING_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM)
 ENGINE_PROGRAM = Path(__file__).with_name("engine.py")
 
 
@@ -41,7 +44,11 @@
             text=True,
         )
         assert self.process.stdout is not None
-        self.port: int = json.loads(self.process.stdout.readline())["port"]
+        try:
+            self.port: int = json.loads(self.process.stdout.readline())["port"]
+        except BaseException:
+            self.end()
+            raise
         self.reports: list[dict[str, Any]] = []
         self.has_reported = threading.Event()
         threading.Thread(target=self.read_reports, daemon=True).start()
@@ -87,25 +94,46 @@
     return discovery
 
 
+class CaseEndedError(Exception):
+    """The case was ended by a signal or has taken too long."""
+
+
+def end_case(signal_number: int, _frame: object) -> None:
+    """Handle a signal that ends the case; what it has started is ended on the way."""
+    for number in ENDING_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+    raise CaseEndedError(signal.Signals(signal_number).name)
+
+
 def run_case(
-    folder: Path,
+    record_path: Path,
     groups: list[EngineGroup],
     play: Callable[[Record, list[EngineProcess]], int],
 ) -> int:
-    """Start the engines and play a case; return its exit status."""
-    record = Record(folder)
+    """Start the engines and play a case; return its exit status.
+
+    A case that is ended by a signal, or takes longer than MAX_RUN_S, ends what it has started.
+    """
+    record = Record(record_path)
     engines: list[EngineProcess] = []
     try:
+        for number in ENDING_SIGNALS:
+            signal.signal(number, end_case)
+        signal.alarm(MAX_RUN_S)
         for group in groups:
             engines.extend(
                 EngineProcess(record, f"{group.kind}-{n}", group) for n in range(group.count)
             )
-        return play(record, engines)
+        status = play(record, engines)
+        signal.alarm(0)
     except Exception:
         for line in traceback.format_exc().replace(str(ROOT), "ROOT").splitlines():
             record.write(line)
-        return 2
+        status = 2
     finally:
+        for number in ENDING_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
         for engine in engines:
             engine.end()
         record.close()
+    return status
