A client that left behind a backlog has left: the socket is read up to its FIN

Ruled out: a look at the socket that comes too late. Connection.peer_closed is asked right before each attempt, and it is right for a client that leaves nothing or few bytes behind.

Cause: of what follows a request under way at most 342 KB were read. The rest filled the receive buffer, TCP held the FIN back behind it, and nothing could see it.

Change: frontends/read_ahead.py alone decides how far to read. While an attempt may still begin, the socket is read to its end; up to 1 MiB of a connection (16 MiB of all) is kept, later requests are counted and answered 503 in their turn.

Why it works: once the buffer is empty the FIN arrives, whatever was sent before it; after the first event no attempt begins, so there flow control stays.

--- a/claycross/frontends/base.py
+++ b/claycross/frontends/base.py
@@ -8,12 +8,11 @@
 
 import contextlib
 from functools import partial
+from typing import ClassVar
 
 from ..invariant import invariant
 from ..net.address import Address
 from ..net.http1 import (
-    MAX_BODY,
-    MAX_HEAD,
     Body,
     End,
     Head,
@@ -31,7 +30,7 @@
     TimeoutExpired,
 )
 from ..requests import preconditions
-from ..requests.manager import RequestManager
+from ..requests.manager import Request, RequestManager
 from .client_state import (
     EVICTED_WITH_UNREAD_BYTES,
     EVICTION_GRACE_NS,
@@ -41,7 +40,8 @@
 )
 from .errors import ErrorContent, RequestError, plain_text
 from .exchange import SEND_TIMEOUT_NS, AcceptedRequest, ClientRequest, Exchange, PartialRequest
-from .inbox import MAX_READ_AHEAD_BYTES, Inbox
+from .inbox import Inbox
+from .read_ahead import may_keep, may_read_ahead
 
 # Idle connections are closed early: thousands of clients send one request and stay connected.
 IDLE_TIMEOUT_NS = 2100 * MS
@@ -57,12 +57,7 @@
 MAX_CONSECUTIVE_ERRORS = 8  # more do not change the delay
 ERROR_SEND_TIMEOUT_NS = SECOND  # for the client to take an error response
 TOO_MANY_REQUESTS = 429
-# Once FLOOD_THRESHOLD_BYTES wait in the socket behind a request that is under way, the client's FIN
-# could remain unseen behind them. Then one more whole request is read ahead, as long as all
-# connections together have read ahead less than MAX_TOTAL_READ_AHEAD_BYTES.
-FLOOD_THRESHOLD_BYTES = 16_384
-MAX_FLOODED_READ_AHEAD_BYTES = MAX_READ_AHEAD_BYTES + MAX_HEAD + MAX_BODY
-MAX_TOTAL_READ_AHEAD_BYTES = 16 << 20
+REJECTION_BATCH_SIZE = 64  # rejections of requests that were not kept, sent at once
 UNREAD_CHECK_INTERVAL_NS = 25 * MS  # between checks of the number of unread bytes
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -71,6 +66,7 @@
     """A listening address and its clients; subclasses handle the requests of one protocol."""
 
     background = False  # whether the connections' tasks run at background priority
+    overloaded: ClassVar[dict[str, str]] = {}  # details of a rejection for lack of capacity
 
     def __init__(
         self,
@@ -201,7 +197,12 @@
         try:
             while not connection.closed:
                 try:
-                    if not self.serve_request(connection, inbox, first=not inbox.parser.head_count):
+                    if inbox.must_reject():
+                        if not self.reject_dropped(connection, inbox):
+                            break
+                    elif not self.serve_request(
+                        connection, inbox, first=not inbox.parser.head_count
+                    ):
                         break
                     consecutive_errors = 0
                 except RequestError as error:
@@ -393,15 +394,14 @@
     ) -> None:
         """Wait until the response is sent, or until the client has ended its sending and thus left.
 
-        Of what follows the request, only a limited number of bytes is read: TCP flow control holds
-        back the rest.
+        Of what follows the request, only a limited number of bytes is kept (see read_ahead.py).
         """
         exchange = accepted.exchange
         inbox.start_read_ahead()
         try:
             while not exchange.finished:
                 try:
-                    self.read_ahead(connection, inbox)
+                    self.read_ahead(connection, inbox, accepted.request)
                 except ReadInterrupted:
                     continue
             if exchange.pending_response:
@@ -410,31 +410,53 @@
             connection.close()
             self.manager.client_disconnected(accepted.request)
 
-    def read_ahead(self, connection: Connection, inbox: Inbox) -> None:
+    def read_ahead(self, connection: Connection, inbox: Inbox, request: Request) -> None:
         """Read bytes that follow the request under way, or only wait if none may be read."""
-        if not self.may_read_ahead(connection, inbox):
+        awaits_attempts = not request.is_decided()
+        if not may_read_ahead(connection, inbox, awaits_attempts, self.draining):
             connection.wait_for_hang_up(UNREAD_CHECK_INTERVAL_NS)
             return
         data = connection.recv()
         if not data:
             raise ConnectionClosedError("the client left")
+        if not may_keep(inbox, len(data), self.kept_bytes()):
+            inbox.drop_further()
         inbox.buffer_ahead(data, connection.received_at)
 
-    def may_read_ahead(self, connection: Connection, inbox: Inbox) -> bool:
-        """Return whether bytes may be read while a request is under way."""
-        if inbox.read_ahead_validator.malformed or not (inbox.full() or self.draining):
-            return True
-        # After such a backlog all of it has to be read: TCP announces a larger window to the
-        # sender only when the receive queue is empty.
-        inbox.flooded = inbox.flooded or connection.unread_bytes() >= FLOOD_THRESHOLD_BYTES
-        if not inbox.flooded:
-            return False
-        total_bytes = sum(
-            exchange.inbox.size() for exchange in self.exchanges.values() if exchange.inbox
-        )
-        return (
-            inbox.size() < MAX_FLOODED_READ_AHEAD_BYTES and total_bytes < MAX_TOTAL_READ_AHEAD_BYTES
-        )
+    def kept_bytes(self) -> int:
+        """Return how many bytes were read ahead on all connections."""
+        return sum(exchange.inbox.size() for exchange in self.exchanges.values() if exchange.inbox)
+
+    def reject_dropped(self, connection: Connection, inbox: Inbox) -> bool:
+        """Reject the requests that were read ahead and not kept; return whether to go on.
+
+        One that has arrived in part is read to its end and rejected, too.
+        """
+        since = self.loop.now()
+        while True:
+            self.send_rejections(connection, inbox.take_dropped())
+            if inbox.malformed():
+                raise MalformedMessageError(400, "no request")
+            if inbox.stop_dropping():
+                return not self.draining
+            try:
+                data = self.receive(connection, since, idle=False)
+            except ReadInterrupted:  # left over from the response before
+                continue
+            if not data:
+                return False
+            inbox.feed_dropped(data)
+
+    def send_rejections(self, connection: Connection, count: int) -> None:
+        """Send `count` responses that each reject a request of which nothing was kept."""
+        headers, body = self.format_error(503, "refused: it may be sent again", **self.overloaded)
+        response = encode_response(503, [*headers, ("Retry-After", "0")], body)
+        while count > 0:
+            batch_size = min(count, REJECTION_BATCH_SIZE)
+            connection.send(response * batch_size, ERROR_SEND_TIMEOUT_NS)
+            self.manager.count("rejected-read-ahead", batch_size)
+            count -= batch_size
+            self.loop.end_turn_if_due()
 
     def handle_request(
         self, connection: Connection, request: ClientRequest
--- a/claycross/frontends/embeddings.py
+++ b/claycross/frontends/embeddings.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any, ClassVar, NamedTuple
 
 from ..config.settings import EmbeddingsConfig
 from ..interface import RequestArrived
@@ -89,6 +89,7 @@
     """Serves POST /v1/embeddings and POST /v1/rerank."""
 
     background = True
+    overloaded: ClassVar[dict[str, str]] = {"code": "overloaded"}
 
     def __init__(
         self,
--- a/claycross/frontends/inbox.py
+++ b/claycross/frontends/inbox.py
@@ -2,60 +2,138 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from ..net.http1 import Body, End, Head, MessageParser, PipelineValidator
 from ..net.receive_timestamps import ReceiveTimestamps
 
-MAX_READ_AHEAD_BYTES = 65_536  # behind a request under way; more stays in the socket
-
 
 class Inbox:
-    """The unhandled bytes of a client connection, with their receive times and their parser."""
+    """The unhandled bytes of a client connection, with their receive times and their parser.
+
+    Requests behind the one under way are kept until their turn comes. Once drop_further() was
+    called, later ones are only counted, in the order in which they came: nothing of them runs, and
+    each is to be rejected after the kept ones were answered.
+    """
 
     def __init__(self) -> None:
         self.parser = MessageParser()
         self.receive_times = ReceiveTimestamps()
-        self.read_ahead_validator = PipelineValidator()
+        self.pieces: deque[bytes] = deque()  # bytes that follow those in the parser's buffer
+        self.pieces_size = 0
+        # Has seen all kept bytes; None: some were parsed without it.
+        self.validator: PipelineValidator | None = None
         self.flooded = False  # many bytes waited unread behind the request under way
+        self.dropping = False  # later requests are counted and not kept
+        self.dropped_before = 0  # requests that the validator had seen when dropping began
 
-    def start_read_ahead(self) -> None:
-        """Start reading ahead: validate buffered and later bytes without consuming them."""
-        self.read_ahead_validator = PipelineValidator()
-        self.flooded = False
-        self.read_ahead_validator.feed(self.parser.buffer)
+    # ------------------------------------------------------------ the current request
 
     def next(self) -> list[Head | Body | End]:
-        """Return the parts of the next message that are already buffered."""
-        return self.parser.next()
+        """Return the parts of the next message that have been read already."""
+        parts = self.parser.next()
+        while self.pieces and not (parts and isinstance(parts[-1], End)):
+            piece = self.pieces.popleft()
+            self.pieces_size -= len(piece)
+            parts += self.parser.feed(piece)
+        return parts
 
     def feed(self, data: bytes, received_at: int) -> list[Head | Body | End]:
         """Add bytes to the current message; return its parts that are now complete."""
+        self.validator = None
         self.receive_times.add(len(data), received_at)
         return self.parser.feed(data)
 
+    # ------------------------------------------------------------ reading ahead
+
+    def start_read_ahead(self) -> None:
+        """Start reading ahead: validate buffered and later bytes without consuming them."""
+        self.flooded = False
+        if self.validator is not None:
+            return
+        self.validator = PipelineValidator()
+        for piece in (self.parser.buffer, *self.pieces):
+            self.validator.feed(piece)
+
     def buffer_ahead(self, data: bytes, received_at: int) -> None:
-        """Buffer bytes of later messages; those after malformed bytes are discarded."""
-        if self.read_ahead_validator.malformed:
+        """Add bytes of later messages; those after malformed bytes are discarded."""
+        validator = self.validator
+        assert validator is not None, "start_read_ahead() comes first"
+        if validator.malformed:
+            return
+        validator.feed(data)
+        if self.dropping:
             return
         self.receive_times.add(len(data), received_at)
-        self.parser.buffer += data
-        self.read_ahead_validator.feed(data)
+        self.pieces.append(data)
+        self.pieces_size += len(data)
 
-    def empty(self) -> bool:
-        """Return whether no bytes are buffered."""
-        return not self.parser.buffer
+    def malformed(self) -> bool:
+        """Return whether what was read ahead is malformed, so that later bytes are discarded."""
+        return self.validator is not None and self.validator.malformed
 
-    def full(self) -> bool:
-        """Return whether the read-ahead limit is reached; none applies after malformed bytes."""
-        return self.size() >= MAX_READ_AHEAD_BYTES and not self.read_ahead_validator.malformed
+    def empty(self) -> bool:
+        """Return whether no bytes are buffered and no request is to be rejected."""
+        return not (self.size() or self.dropping)
 
     def size(self) -> int:
         """Return the number of buffered bytes."""
-        return len(self.parser.buffer)
+        return len(self.parser.buffer) + self.pieces_size
+
+    # ------------------------------------------------------------ requests that are not kept
+
+    def drop_further(self) -> None:
+        """Keep only the complete requests that were read ahead, and count all later ones."""
+        assert self.validator is not None, "start_read_ahead() comes first"
+        if self.dropping or self.validator.malformed:
+            return
+        self.dropping = True
+        self.dropped_before = self.validator.complete_messages
+        self._truncate(self.validator.incomplete_bytes)
+
+    def _truncate(self, size: int) -> None:
+        """Discard the last `size` buffered bytes."""
+        self.receive_times.discard(size)
+        while size and self.pieces:
+            piece = self.pieces.pop()
+            rest = piece[: max(0, len(piece) - size)]
+            self.pieces_size -= len(piece) - len(rest)
+            size -= len(piece) - len(rest)
+            if rest:
+                self.pieces.append(rest)
+        if size:
+            self.parser.buffer = self.parser.buffer[:-size]
+
+    def must_reject(self) -> bool:
+        """Return whether the next request in turn is one that was not kept."""
+        return self.dropping and not self.size()
+
+    def feed_dropped(self, data: bytes) -> None:
+        """Add bytes of the request that is arriving and not kept."""
+        assert self.validator is not None, "drop_further() comes first"
+        self.validator.feed(data)
+
+    def take_dropped(self) -> int:
+        """Return how many complete requests were not kept since the last call."""
+        assert self.validator is not None, "drop_further() comes first"
+        count = self.validator.complete_messages - self.dropped_before
+        self.dropped_before = self.validator.complete_messages
+        return count
+
+    def stop_dropping(self) -> bool:
+        """Keep requests again if none has arrived in part; return whether that is so."""
+        assert self.validator is not None, "drop_further() comes first"
+        if self.validator.incomplete_bytes:
+            return False
+        self.dropping = False
+        return True
+
+    # ------------------------------------------------------------ receive times
 
     def oldest_received_at(self) -> int:
         """Return when the first buffered byte was received; 0 if there is none."""
-        return self.receive_times.oldest(len(self.parser.buffer))
+        return self.receive_times.oldest(self.size())
 
     def last_received_at(self) -> int:
         """Return when the last byte before the buffered ones was received; 0 if unknown."""
-        return self.receive_times.before(len(self.parser.buffer))
+        return self.receive_times.before(self.size())
--- a/claycross/net/http1.py
+++ b/claycross/net/http1.py
@@ -115,6 +115,7 @@
     def __init__(self, max_chunk: int = MAX_BODY) -> None:
         self.max_chunk = max_chunk  # bytes
         self.buffer = b""
+        self.position = 0  # of the first byte in the buffer that is not parsed yet
         self.state = CHUNK_STATE_SIZE
         self.remaining = 0  # bytes of the current chunk that have not arrived
         self.trailer_size = 0  # bytes of trailers so far
@@ -124,9 +125,10 @@
         """Return whether no chunk has arrived in part."""
         return self.complete or (self.state is CHUNK_STATE_SIZE and not self.buffer)
 
-    def feed(self, data: bytes) -> tuple[list[bytes], bytes]:
-        """Add bytes; return the new pieces of the body, and the bytes after its end."""
+    def feed(self, data: bytes) -> tuple[bytes, bytes]:
+        """Add bytes; return the new bytes of the body, and the bytes after its end."""
         self.buffer += data
+        self.position = 0
         pieces: list[bytes] = []
         progress = True
         while progress and not self.complete:
@@ -136,18 +138,16 @@
                 progress = self.read_data_end()
             else:
                 progress = self.read_line()
-        if not self.complete:
-            return pieces, b""
-        rest = self.buffer
-        self.buffer = b""
-        return pieces, rest
+        rest = self.buffer[self.position :]
+        self.buffer = b"" if self.complete else rest
+        return b"".join(pieces), rest if self.complete else b""
 
     def read_data(self, pieces: list[bytes]) -> bool:
         """Parse a piece of a chunk's data; return False if more input is needed."""
-        if not self.buffer:
+        piece = self.buffer[self.position : self.position + self.remaining]
+        if not piece:
             return False
-        piece = self.buffer[: self.remaining]
-        self.buffer = self.buffer[self.remaining :]
+        self.position += len(piece)
         self.remaining -= len(piece)
         pieces.append(piece)
         if not self.remaining:
@@ -156,21 +156,22 @@
 
     def read_data_end(self) -> bool:
         """Parse the end of line after a chunk's data; return False if more input is needed."""
-        if self.buffer in (b"", b"\r"):
-            return False
-        if not self.buffer.startswith(LINE_END):
+        if not self.buffer.startswith(LINE_END, self.position):
+            if self.buffer[self.position :] in (b"", b"\r"):
+                return False
             raise MalformedMessageError(400, "a chunk is longer than its size says")
-        self.buffer = self.buffer[len(LINE_END) :]
+        self.position += len(LINE_END)
         self.state = CHUNK_STATE_SIZE
         return True
 
     def read_line(self) -> bool:
         """Parse a size line or a line of the trailers; return False if more input is needed."""
-        line, line_end, rest = self.buffer.partition(LINE_END)
-        if not line_end:
+        end = self.buffer.find(LINE_END, self.position)
+        if end < 0:
             self.check_partial_line()
             return False
-        self.buffer = rest
+        line = self.buffer[self.position : end]
+        self.position = end + len(LINE_END)
         if self.state is CHUNK_STATE_SIZE:
             self.read_size(line)
         elif not line:
@@ -183,9 +184,10 @@
 
     def check_partial_line(self) -> None:
         """Reject a partial line that is already malformed, as its end may never arrive."""
-        if len(self.buffer) > MAX_CHUNK_LINE_BYTES:
+        line = self.buffer[self.position :]
+        if len(line) > MAX_CHUNK_LINE_BYTES:
             raise MalformedMessageError(400, "a chunk's size line is too long")
-        if self.state is CHUNK_STATE_SIZE and not PARTIAL_CHUNK_SIZE.match(self.buffer):
+        if self.state is CHUNK_STATE_SIZE and not PARTIAL_CHUNK_SIZE.match(line):
             raise MalformedMessageError(400, "a chunk's size is no number")
 
     def read_size(self, line: bytes) -> None:
@@ -418,48 +420,31 @@
     # ------------------------------------------------------------ the body
 
     def read_body(self, parts: list[Part]) -> None:
-        """Add the pieces of the body that have arrived to `parts`."""
-        for piece in self.body_pieces():
-            if piece:
-                self.body_size += len(piece)
-                parts.append(Body(piece))
+        """Add what has arrived of the body to `parts`, and set the state if it is complete."""
+        data = self.body_data()
+        if data:
+            self.body_size += len(data)
+            parts.append(Body(data))
         if self.body_size > self.max_body:
             raise MalformedMessageError(413, "the body is too large")
 
-    def body_pieces(self) -> list[bytes]:
-        """Return the pieces of the body that have arrived, and set the state if it is complete."""
+    def body_data(self) -> bytes:
+        """Return what has arrived of the body, and set the state if it is complete."""
         if self.state is STATE_CHUNKED:
-            pieces, self.buffer = self.chunked_body.feed(self.buffer)
+            data, self.buffer = self.chunked_body.feed(self.buffer)
             if self.chunked_body.complete:
                 self.state = STATE_COMPLETE
-            return pieces
+            return data
         if self.state is STATE_UNTIL_CLOSE:
-            piece = self.buffer
+            data = self.buffer
             self.buffer = b""
-            return [piece]
-        piece = self.buffer[: self.remaining]
+            return data
+        data = self.buffer[: self.remaining]
         self.buffer = self.buffer[self.remaining :]
-        self.remaining -= len(piece)
+        self.remaining -= len(data)
         if not self.remaining:
             self.state = STATE_COMPLETE
-        return [piece]
-
-
-def join_bodies(parts: list[Part]) -> list[Part]:
-    """Return the parts with those of the body joined that follow each other."""
-    joined: list[Part] = []
-    pieces: list[bytes] = []
-    for part in parts:
-        if isinstance(part, Body):
-            pieces.append(part.data)
-            continue
-        if pieces:
-            joined.append(Body(b"".join(pieces)))
-            pieces = []
-        joined.append(part)
-    if pieces:
-        joined.append(Body(b"".join(pieces)))
-    return joined
+        return data
 
 
 class PipelineValidator:
@@ -468,14 +453,19 @@
     def __init__(self) -> None:
         self.messages = MessageParser()
         self.malformed = False
+        self.complete_messages = 0
+        self.incomplete_bytes = 0  # since the end of the last complete message
 
     def feed(self, data: bytes) -> None:
         """Add bytes; they are ignored once the input is malformed."""
         if self.malformed:
             return
+        self.incomplete_bytes += len(data)
         try:
             parts = self.messages.feed(data)
             while parts and isinstance(parts[-1], End):
+                self.complete_messages += 1
+                self.incomplete_bytes = len(self.messages.buffer)
                 parts = self.messages.next()
         except MalformedMessageError:
             self.malformed = True
--- a/claycross/net/receive_timestamps.py
+++ b/claycross/net/receive_timestamps.py
@@ -36,6 +36,16 @@
             received_at = self.records.pop().received_at
         self.records.append(ReceiveRecord(self.total_bytes, received_at))
 
+    def discard(self, size: int) -> None:
+        """Forget the last `size` bytes."""
+        self.total_bytes -= size
+        last: ReceiveRecord | None = None
+        while self.records and self.records[-1].end > self.total_bytes:
+            last = self.records.pop()
+        start = self.records[-1].end if self.records else 0
+        if last and start < self.total_bytes:
+            self.records.append(ReceiveRecord(self.total_bytes, last.received_at))
+
     def oldest(self, pending: int) -> int:
         """Return when the first of the last `pending` bytes was received; 0 if there are none."""
         start = self.total_bytes - pending
--- a/claycross/requests/manager.py
+++ b/claycross/requests/manager.py
@@ -111,9 +111,9 @@
     def trace(self, trace: Callable[[str], None] | None) -> None:
         self.metrics.trace = trace
 
-    def count(self, name: str) -> None:
-        """Add one to a counter."""
-        self.metrics.count(name)
+    def count(self, name: str, number: int = 1) -> None:
+        """Add to a counter."""
+        self.metrics.count(name, number)
 
     def count_frontend_rejection(self, name: str) -> None:
         """Count a request of this class that a frontend failed before it was accepted."""
--- a/claycross/requests/request_metrics.py
+++ b/claycross/requests/request_metrics.py
@@ -72,9 +72,9 @@
         self.attempts_sent = 0  # attempts that were completely written to engines
         self.trace: Callable[[str], None] | None = None  # writes one line; None: no trace
 
-    def count(self, name: str) -> None:
-        """Add one to a counter."""
-        self.counts[name] = self.counts.get(name, 0) + 1
+    def count(self, name: str, number: int = 1) -> None:
+        """Add to a counter."""
+        self.counts[name] = self.counts.get(name, 0) + number
 
     def count_reply(self, class_name: str, status: ReplyStatus) -> None:
         """Add one to the answered requests of a class."""
--- a/claycross/upstream/http1.py
+++ b/claycross/upstream/http1.py
@@ -15,7 +15,6 @@
     MessageParser,
     MessageState,
     encode_request,
-    join_bodies,
 )
 from ..net.loop import (
     MS,
@@ -127,7 +126,7 @@
             except TimeoutExpired:
                 message = "timeout within a head or chunk" if partial else "idle timeout"
                 raise MalformedMessageError(502, message) from None
-            for part in join_bodies(parser.feed(data)) if data else parser.eof():
+            for part in parser.feed(data) if data else parser.eof():
                 if isinstance(part, Head):
                     reader.head(part.status, part.headers)
                 elif isinstance(part, Body):
--- a/tests/frontends/test_client_end.py
+++ b/tests/frontends/test_client_end.py
@@ -75,3 +75,96 @@
     reader.go_on.set()
     passes(0.3)
     assert not [message for message in writer.asked if message["X-Request-ID"] == "first"]
+
+
+def chunked_in_twos(count):
+    """A request whose body comes in chunks of two bytes and does not end."""
+    head = request("second", body=b"").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    return head + b"2\r\nab\r\n" * count
+
+
+def requests_of(count, size):
+    return b"".join(request(f"later-{n}", body=b"x" * size, cls="browse") for n in range(count))
+
+
+WHOLE_BACKLOGS = {
+    "400 requests of 2 KB": requests_of(400, 2_000),
+    "4,000 small requests": requests_of(4000, 20),
+    "12 large requests": requests_of(12, 200_000),
+    "30,000 readiness checks": b"GET /-/ready HTTP/1.1\r\nHost: o\r\n\r\n" * 30_000,
+    "a body in small chunks without an end": chunked_in_twos(125_000),
+}
+
+
+@pytest.mark.parametrize("stopping", [False, True], ids=["serving", "stopping"])
+@pytest.mark.parametrize("behind", WHOLE_BACKLOGS.values(), ids=WHOLE_BACKLOGS)
+def test_nothing_is_begun_for_a_client_that_left_behind_a_backlog_of_requests(
+    site, behind, stopping
+):
+    """Guards against review case 10: the FIN stood behind requests that nobody read, so that a
+    licence was written seconds after its client had closed."""
+    reader, writer = DelayedReader(), Engine("d")
+    gateway = site(reader, writer, release=True)
+    client = gateway.client()
+    client.sock.sendall(request("first"))
+    eventually(lambda: reader.asked)
+    if stopping:
+        gateway.process.send_signal(signal.SIGTERM)
+        eventually(lambda: " stopping " in gateway.log())
+    client.sock.settimeout(8)
+    client.sock.sendall(behind)
+    client.__exit__()
+    passes(0.4)
+    reader.go_on.set()
+    passes(0.5)
+    assert not writer.asked
+    assert [message["X-Request-ID"] for message in reader.asked] == ["first"]
+
+
+@pytest.mark.parametrize("name", ["400 requests of 2 KB", "12 large requests"])
+def test_nothing_is_begun_for_many_clients_that_left_behind_a_backlog_each(site, name):
+    reader, writer = DelayedReader(), Engine("d")
+    gateway = site(reader, writer, release=True)
+    clients = [gateway.client() for _ in range(30)]
+    for number, client in enumerate(clients):
+        client.sock.sendall(request(f"first-{number}", cls="browse"))
+    eventually(lambda: reader.asked)
+
+    def leave(client):
+        client.sock.sendall(WHOLE_BACKLOGS[name])
+        client.__exit__()
+
+    leaving = [threading.Thread(target=leave, args=(client,), daemon=True) for client in clients]
+    for thread in leaving:
+        thread.start()
+    for thread in leaving:
+        thread.join(8)
+    passes(0.4)
+    begun = len(reader.asked)
+    reader.go_on.set()
+    passes(0.5)
+    assert not writer.asked and len(reader.asked) == begun
+
+
+def test_each_request_of_a_backlog_is_answered_if_its_client_stays(site):
+    """What is read beyond the bound for one connection is rejected in order, and never runs."""
+    reader, writer = DelayedReader(), Engine("d")
+    gateway = site(reader, writer, release=True)
+    count = 16
+    with gateway.client() as client:
+        client.sock.sendall(request("first"))
+        eventually(lambda: reader.asked)
+        sending = threading.Thread(
+            target=client.sock.sendall, args=(requests_of(count, 200_000),), daemon=True
+        )
+        sending.start()
+        passes(0.5)
+        reader.go_on.set()
+        statuses = [client.answer().status for _ in range(count + 1)]
+        sending.join()
+        client.sock.sendall(request("after"))
+        assert client.answer().status == 200
+    kept = statuses.index(503)
+    assert statuses == [200] * kept + [503] * (count + 1 - kept) and kept > 1
+    ran = {message["X-Request-ID"] for message in reader.asked}
+    assert ran == {"first", "after"} | {f"later-{n}" for n in range(kept - 1)}
--- /dev/null
+++ b/tests/frontends/test_inbox.py
@@ -0,0 +1,73 @@
+"""What is read ahead on a client's connection: kept requests come first, later ones are counted."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from claycross.frontends.inbox import Inbox
+from claycross.net.http1 import End, Head
+from tests.frontends.test_pipelining import request
+
+
+def cut(data, sizes):
+    """Splits the data into pieces of these sizes and a last one."""
+    pieces = []
+    for size in sizes:
+        pieces.append(data[:size])
+        data = data[size:]
+    return [piece for piece in (*pieces, data) if piece]
+
+
+def requests_kept(inbox):
+    """The targets of the complete requests that the inbox holds; it holds nothing else."""
+    targets = []
+    while inbox.size():
+        parts = inbox.next()
+        assert isinstance(parts[0], Head) and isinstance(parts[-1], End)
+        targets.append(parts[0].get("x-request-id"))
+    return targets
+
+
+@given(
+    bodies=st.lists(st.binary(max_size=30), min_size=1, max_size=8),
+    sizes=st.lists(st.integers(1, 400), max_size=12),
+    dropping_from=st.integers(0, 12),
+    fed_first=st.integers(0, 1),
+)
+def test_each_request_is_kept_or_counted_however_the_bytes_are_split(
+    bodies, sizes, dropping_from, fed_first
+):
+    """Guards against a request that is read ahead and lost where keeping ends (review case 10)."""
+    keys = [f"key-{n}" for n in range(len(bodies))]
+    data = b"".join(request(key, body) for key, body in zip(keys, bodies, strict=True))
+    inbox = Inbox()
+    inbox.feed(request("first"), 1)
+    # Bytes behind a request may have come in the same read as its end.
+    pieces = cut(data, sizes)
+    for piece in pieces[:fed_first]:
+        inbox.parser.buffer += piece
+        inbox.receive_times.add(len(piece), 1)
+    inbox.start_read_ahead()
+    counted = 0
+    for number, piece in enumerate(pieces[fed_first:]):
+        if number == dropping_from:
+            inbox.drop_further()
+        inbox.buffer_ahead(piece, number + 2)
+        assert inbox.oldest_received_at() <= number + 2
+    kept = requests_kept(inbox) if inbox.dropping else keys
+    if inbox.dropping:
+        counted = inbox.take_dropped()
+        assert inbox.must_reject() and inbox.stop_dropping()
+    assert kept == keys[: len(kept)] and len(kept) + counted == len(keys)
+
+
+def test_a_request_that_arrives_in_part_is_counted_once_it_is_complete():
+    inbox = Inbox()
+    inbox.feed(request("first"), 1)
+    inbox.start_read_ahead()
+    inbox.buffer_ahead(request("kept") + request("cut")[:50], 2)
+    inbox.drop_further()
+    assert requests_kept(inbox) == ["kept"] and inbox.must_reject()
+    assert inbox.take_dropped() == 0 and not inbox.stop_dropping()
+    inbox.feed_dropped(request("cut")[50:])
+    assert inbox.take_dropped() == 1 and inbox.stop_dropping()
+    assert inbox.empty()
