Memory of clients' requests has one account, with shares of the limit

Ruled out: garbage that waits for a collection (a collection freed nothing in a dump of the process); the allocator (18 MB of 141 MB were pymalloc arenas).

Cause: nothing read limits.memory_mb. Each piece of a body and each header was an object of its own, a waiting task held its last bytes in local variables as well, evicted connections' tasks piled up in the loop (2,422 after 7 s), and a request's 2.2 s were compared only where a read found nothing.

Change: requests/memory_account.py owns what clients' requests hold, by kind, as shares of the limit. The largest unfinished request is freed first and answered 503. Bodies are one buffer, heads stay bytes until they are used. RequestReader takes the reading of a request out of Frontend, and the parser of chunked bodies has its own module.

Why it works: every byte that a request keeps is charged by what the interpreter keeps, in one place, and given back in one place; over its share a kind frees the largest, so that ordinary requests find room.

--- a/claycross/config/settings.py
+++ b/claycross/config/settings.py
@@ -26,6 +26,8 @@
 DEFAULT_CONNECT_TIMEOUT_NS = 250 * MS
 DEFAULT_DRAIN_GRACE_NS = 250 * MS
 DEFAULT_MAX_DESCRIPTORS = 1024
+DEFAULT_MEMORY_MB = 2048
+MEGABYTE = 1_000_000  # bytes
 DEFAULT_ADMIN_CLIENTS = 8
 DEFAULT_STATE_FOLDER = "/tmp"
 # Longest Retry-After in rejections of the embeddings service.
@@ -183,6 +185,7 @@
     discovery: Address
     seed: int
     max_descriptors: int
+    memory_limit: int  # bytes; the platform kills a process that has more
     saved_list: Fields  # the endpoint list as an earlier process last had it
     settings: interface.Settings
     peer_listen: Address | None = None  # where messages of the other gateways arrive
@@ -256,6 +259,7 @@
         discovery=read_address(env.get("PROXY_DISCOVERY") or raw["discovery"], "discovery"),
         seed=int(seed, 16),
         max_descriptors=int(limits.get("sockets", DEFAULT_MAX_DESCRIPTORS)),
+        memory_limit=int(limits.get("memory_mb", DEFAULT_MEMORY_MB) * MEGABYTE),
         saved_list=raw.get("known") or {},
         settings=replace(read_settings(settings), may_check_connections=True),
         peer_listen=read_optional_address(raw.get("peer_listen"), "peer_listen"),
--- a/claycross/emulator/http_servers.py
+++ b/claycross/emulator/http_servers.py
@@ -307,7 +307,7 @@
         headers = cast(dict[str, str], dict(event.headers))  # by header_encoding
         method = headers.pop(":method", "")
         path = headers.pop(":path", "")
-        head = Head(method, path, headers=headers)
+        head = Head(method, path, parsed=headers)
         self.streams[event.stream_id] = Http2Exchange(self.loop, head, self, event.stream_id)
 
     def receive_body(self, event: h2.events.DataReceived) -> None:
--- a/claycross/frontends/admin_api.py
+++ b/claycross/frontends/admin_api.py
@@ -12,7 +12,8 @@
 from ..net.http1 import encode_response
 from ..net.loop import SECOND, Connection, EventLoop
 from ..requests.manager import RequestManager
-from .base import Frontend
+from ..requests.memory_account import MemoryAccount
+from .base import ClientLimits, Frontend
 from .errors import ErrorContent, RequestError, json_error
 from .exchange import AcceptedRequest, ClientRequest
 from .tenants import Tenants, bearer_token, digest
@@ -41,6 +42,14 @@
         raise RequestError(405, "GET only", [("Allow", "GET")])
 
 
+class AdminService(NamedTuple):
+    """What the administration API shows and changes."""
+
+    config: AdminConfig
+    tenants: Tenants
+    status: Callable[[], dict[str, Any]]  # returns the gateway's status
+
+
 class AdminFrontend(Frontend):
     """Serves GET /admin/v1/status, and GET, PUT and DELETE under /admin/v1/tenants.
 
@@ -53,15 +62,15 @@
         self,
         loop: EventLoop,
         manager: RequestManager,
-        config: AdminConfig,
-        tenants: Tenants,
-        status: Callable[[], dict[str, Any]],
+        service: AdminService,
+        memory: MemoryAccount,
     ):
-        """Listen as configured; `status` returns the gateway's status."""
-        super().__init__(loop, manager, config.listen, config.max_clients)
+        """Listen as configured."""
+        config = service.config
+        super().__init__(loop, manager, config.listen, ClientLimits(config.max_clients, memory))
         self.config = config
-        self.tenants = tenants
-        self.status = status
+        self.tenants = service.tenants
+        self.status = service.status
 
     @staticmethod
     def format_error(status: int, message: str, **details: str) -> ErrorContent:
--- a/claycross/frontends/base.py
+++ b/claycross/frontends/base.py
@@ -8,14 +8,12 @@
 
 import contextlib
 from functools import partial
-from typing import ClassVar
+from typing import ClassVar, NamedTuple
 
+from ..interface import RequestArrived
 from ..invariant import invariant
 from ..net.address import Address
 from ..net.http1 import (
-    Body,
-    End,
-    Head,
     MalformedMessageError,
     encode_response,
 )
@@ -27,10 +25,12 @@
     EventLoop,
     Listener,
     ReadInterrupted,
-    TimeoutExpired,
 )
 from ..requests import preconditions
 from ..requests.manager import Request, RequestManager
+from ..requests.memory_account import MemoryAccount, MemoryKind
+from ..requests.request_metrics import ReplyStatus
+from ..upstream.interface import OutgoingRequest
 from .client_state import (
     EVICTED_WITH_UNREAD_BYTES,
     EVICTION_GRACE_NS,
@@ -38,15 +38,12 @@
     ClientEntry,
     ClientState,
 )
-from .errors import ErrorContent, RequestError, plain_text
-from .exchange import SEND_TIMEOUT_NS, AcceptedRequest, ClientRequest, Exchange, PartialRequest
+from .errors import CapacityError, ErrorContent, RequestError, plain_text
+from .exchange import SEND_TIMEOUT_NS, AcceptedRequest, ClientRequest, Exchange
 from .inbox import Inbox
-from .read_ahead import may_keep, may_read_ahead
+from .read_ahead import keep, may_read_ahead
+from .request_reader import PartialRequest, RequestReader
 
-# Idle connections are closed early: thousands of clients send one request and stay connected.
-IDLE_TIMEOUT_NS = 2100 * MS
-# From the first byte of a request, or from connecting for the first one, until it is complete.
-REQUEST_TIMEOUT_NS = 2200 * MS
 # Limits on reading after the sending side was shut down.
 LINGER_TIMEOUT_NS = 300 * MS
 MAX_LINGER_BYTES = 1 << 20
@@ -59,7 +56,13 @@
 TOO_MANY_REQUESTS = 429
 REJECTION_BATCH_SIZE = 64  # rejections of requests that were not kept, sent at once
 UNREAD_CHECK_INTERVAL_NS = 25 * MS  # between checks of the number of unread bytes
-CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class ClientLimits(NamedTuple):
+    """What bounds the clients of a frontend."""
+
+    max_connections: int
+    memory: MemoryAccount  # shared by all frontends
 
 
 class Frontend:
@@ -73,18 +76,21 @@
         loop: EventLoop,
         manager: RequestManager,
         listen: Address,
-        max_connections: int,
+        limits: ClientLimits,
         inherited_descriptor: int | None = None,
     ):
-        """Listen on an address or an inherited socket for at most `max_connections` connections."""
+        """Listen on an address or an inherited socket."""
         self.loop = loop
         self.manager = manager
-        self.max_connections = max_connections
+        self.max_connections = limits.max_connections
+        self.memory = limits.memory
         self.draining = False  # every response announces that its connection closes
         self.closing_idle = False  # connections between two requests are closed
         self.clients: dict[Connection, ClientEntry] = {}  # ordered by last change, the oldest first
+        self.evicted: set[Connection] = set()  # closed; their tasks have not ended
         # The last exchange of each connection, for the check when the connection ends.
         self.exchanges: dict[Connection, Exchange] = {}
+        self.reader = RequestReader(self)
         self.listener = Listener(
             loop,
             listen,
@@ -108,10 +114,13 @@
         """
         if len(self.clients) < self.max_connections:
             return True
+        if len(self.evicted) >= self.max_connections:  # their tasks have not ended yet
+            return False
         connection = self.connection_to_evict()
         if connection is None:
             return False
         del self.clients[connection]
+        self.evicted.add(connection)
         self.manager.count("made-way")
         connection.close()
         return True
@@ -205,6 +214,9 @@
                     ):
                         break
                     consecutive_errors = 0
+                except CapacityError as error:
+                    if not self.answer_overload(connection, inbox, error):
+                        break
                 except RequestError as error:
                     if not self.answer_error(connection, inbox, error, consecutive_errors):
                         break
@@ -215,6 +227,7 @@
             self.manager.count("malformed")
             self.send_error(connection, RequestError(error.status, str(error)))
         finally:
+            self.memory.give_back(MemoryKind.READ_AHEAD, inbox)
             self.end(connection)
 
     def answer_error(
@@ -243,6 +256,16 @@
         self.send_error(connection, error, close)
         return not close
 
+    def answer_overload(self, connection: Connection, inbox: Inbox, error: CapacityError) -> bool:
+        """Reject a request for which there is no memory; return whether to keep the connection."""
+        head = inbox.parser.head
+        self.manager.count("rejected-for-memory")
+        self.manager.count_frontend_rejection(head.get("x-priority-class"), ReplyStatus.OVERLOAD)
+        head.compact()
+        close = error.closes or not head.keeps_alive() or self.is_last_response(inbox)
+        self.send_error(connection, error, close)
+        return not close
+
     def send_error(self, connection: Connection, error: RequestError, close: bool = True) -> None:
         """Send an error response."""
         headers, body = self.format_error(error.status, str(error), **error.details)
@@ -271,6 +294,7 @@
             pass
         finally:
             self.clients.pop(connection, None)
+            self.evicted.discard(connection)
             connection.close()
 
     def linger(self, connection: Connection) -> None:
@@ -297,11 +321,14 @@
         Raises:
             RequestError: If the request is answered with an error.
         """
-        request = self.read_request(connection, inbox, first)
+        request = self.reader.read(connection, inbox, first)
         if request is None:
             return False
+        if self.memory.holds(MemoryKind.READ_AHEAD, inbox):  # less of it than before
+            self.memory.charge(MemoryKind.READ_AHEAD, inbox, inbox.held_bytes())
         self.set_state(connection, ClientState.BUSY)
         accepted = self.handle_request(connection, request)
+        request.head.compact()
         if accepted is None:
             return not (request.wants_close or self.is_last_response(inbox))
         exchange = accepted.exchange
@@ -312,83 +339,6 @@
         # Unless the response announced that the connection closes, the next request is served.
         return not exchange.close_after and not connection.closed
 
-    def read_request(
-        self, connection: Connection, inbox: Inbox, first: bool
-    ) -> ClientRequest | None:
-        """Read the next request; None when the connection is to be closed."""
-        parser = inbox.parser
-        start = self.loop.now()
-        is_buffered = True  # as a whole: nothing was read for it
-        partial = PartialRequest(inbox.oldest_received_at())
-        parts = inbox.next()
-        waiting_state = ClientState.SILENT if first else ClientState.IDLE
-        self.set_state(connection, waiting_state if parser.idle() else ClientState.REQUESTING)
-        while True:
-            request = self.assemble(connection, partial, parts)
-            if request is not None:
-                request.completed_at = (
-                    inbox.last_received_at() if is_buffered else connection.received_at
-                )
-                return request
-            is_buffered = False
-            idle = partial.head is None and parser.idle()
-            if idle and self.closing_idle and not first and connection.is_idle():
-                self.manager.count("closed-draining")
-                return None
-            # The time limit of a pipelined request runs from when its turn came.
-            since = start if first else max(start, partial.received_at)
-            try:
-                data = self.receive(connection, since, idle)
-            except ReadInterrupted:  # left over from the response before
-                parts = []
-                continue
-            if data is None:
-                return None
-            if not data:
-                self.manager.count("closed-by-client")
-                parser.eof()
-                return None
-            if not partial.received_at:
-                partial.received_at = connection.received_at
-                self.set_state(connection, ClientState.REQUESTING)
-            parts = inbox.feed(data, connection.received_at)
-
-    def assemble(
-        self, connection: Connection, partial: PartialRequest, parts: list[Head | Body | End]
-    ) -> ClientRequest | None:
-        """Add parsed parts to a request; return it once it is complete."""
-        for part in parts:
-            if isinstance(part, Head):
-                partial.head = part
-                self.send_continue(connection, part)
-            elif isinstance(part, Body):
-                partial.body.append(part.data)
-            elif partial.head is not None:
-                received_at = partial.received_at or self.loop.now()
-                return ClientRequest(partial.head, b"".join(partial.body), received_at)
-        return None
-
-    def send_continue(self, connection: Connection, head: Head) -> None:
-        """Send 100 Continue if the client waits for it before the body (RFC 9110, 10.1.1)."""
-        if head.get("expect").lower() == "100-continue":
-            connection.send(CONTINUE_RESPONSE, SEND_TIMEOUT_NS)
-
-    def receive(self, connection: Connection, since: int, idle: bool) -> bytes | None:
-        """Return bytes of a request; None if the connection's idle timeout has expired.
-
-        Raises:
-            MalformedMessageError: If a request that has begun did not become complete in time.
-        """
-        timeout_ns = IDLE_TIMEOUT_NS if idle else REQUEST_TIMEOUT_NS
-        try:
-            return connection.recv(max(MS, since + timeout_ns - self.loop.now()))
-        except TimeoutExpired:
-            if idle:
-                self.manager.count("closed-idle")
-                return None
-            self.manager.count("closed-half-request")
-            raise MalformedMessageError(408, "the request did not arrive in time") from None
-
     def wait_for_response(
         self, connection: Connection, inbox: Inbox, accepted: AcceptedRequest
     ) -> None:
@@ -413,26 +363,24 @@
     def read_ahead(self, connection: Connection, inbox: Inbox, request: Request) -> None:
         """Read bytes that follow the request under way, or only wait if none may be read."""
         awaits_attempts = not request.is_decided()
-        if not may_read_ahead(connection, inbox, awaits_attempts, self.draining):
+        if not may_read_ahead(connection, inbox, self.memory, awaits_attempts, self.draining):
             connection.wait_for_hang_up(UNREAD_CHECK_INTERVAL_NS)
             return
         data = connection.recv()
         if not data:
             raise ConnectionClosedError("the client left")
-        if not may_keep(inbox, len(data), self.kept_bytes()):
+        if not (inbox.malformed() or keep(inbox, len(data), self.memory)):
             inbox.drop_further()
+            self.memory.charge(MemoryKind.READ_AHEAD, inbox, inbox.held_bytes())
         inbox.buffer_ahead(data, connection.received_at)
 
-    def kept_bytes(self) -> int:
-        """Return how many bytes were read ahead on all connections."""
-        return sum(exchange.inbox.size() for exchange in self.exchanges.values() if exchange.inbox)
-
     def reject_dropped(self, connection: Connection, inbox: Inbox) -> bool:
         """Reject the requests that were read ahead and not kept; return whether to go on.
 
         One that has arrived in part is read to its end and rejected, too.
         """
         since = self.loop.now()
+        unkept = PartialRequest(connection, inbox, since)
         while True:
             self.send_rejections(connection, inbox.take_dropped())
             if inbox.malformed():
@@ -440,7 +388,7 @@
             if inbox.stop_dropping():
                 return not self.draining
             try:
-                data = self.receive(connection, since, idle=False)
+                data = self.reader.receive(unkept, since, idle=False)
             except ReadInterrupted:  # left over from the response before
                 continue
             if not data:
@@ -458,6 +406,25 @@
             count -= batch_size
             self.loop.end_turn_if_due()
 
+    def accept(
+        self,
+        arrival: RequestArrived,
+        outgoing: OutgoingRequest,
+        exchange: Exchange,
+        key: str,
+        received_at: int = 0,
+    ) -> AcceptedRequest:
+        """Pass a request to the request manager, and charge the account for it until it is over.
+
+        Raises:
+            CapacityError: If there is no memory for it.
+        """
+        if not self.memory.charge(MemoryKind.REQUESTS, exchange, outgoing.held_bytes()):
+            raise CapacityError("too many requests are open: it may be sent again", self.overloaded)
+        request = self.manager.accept(arrival, key, outgoing, exchange, received_at)
+        request.on_forgotten = partial(self.memory.give_back, MemoryKind.REQUESTS, exchange)
+        return AcceptedRequest(request, exchange)
+
     def handle_request(
         self, connection: Connection, request: ClientRequest
     ) -> AcceptedRequest | None:
--- a/claycross/frontends/chat.py
+++ b/claycross/frontends/chat.py
@@ -11,7 +11,7 @@
 from ..net.loop import MS, Connection, EventLoop
 from ..requests.manager import RequestManager
 from ..upstream.interface import UNFORWARDED_HEADERS, OutgoingRequest
-from .base import Frontend
+from .base import ClientLimits, Frontend
 from .errors import RequestError, plain_text
 from .exchange import SEND_TIMEOUT_NS, AcceptedRequest, ClientRequest, Exchange
 
@@ -48,13 +48,13 @@
         loop: EventLoop,
         manager: RequestManager,
         listen: Address,
-        max_connections: int,
+        limits: ClientLimits,
         *,
         ready: Callable[[], bool] = lambda: True,
         inherited_descriptor: int | None = None,
     ):
         """Listen like every frontend; `ready` returns whether the gateway is ready for clients."""
-        super().__init__(loop, manager, listen, max_connections, inherited_descriptor)
+        super().__init__(loop, manager, listen, limits, inherited_descriptor)
         self.ready = ready
 
     def handle_request(
@@ -76,8 +76,7 @@
         payload = OutgoingRequest(head.method, head.target, headers, request.body)
         exchange = Exchange(self, connection, request.wants_close)
         key = head.get("x-request-id")
-        accepted = self.manager.accept(arrival, key, payload, exchange, request.completed_at)
-        return AcceptedRequest(accepted, exchange)
+        return self.accept(arrival, payload, exchange, key, request.completed_at)
 
     def answer_readiness(self, connection: Connection, request: ClientRequest) -> None:
         """Answer the platform's readiness check."""
--- a/claycross/frontends/embeddings.py
+++ b/claycross/frontends/embeddings.py
@@ -13,8 +13,9 @@
 from ..net.http1 import Head, encode_response
 from ..net.loop import MS, SECOND, Connection, EventLoop
 from ..requests.manager import RequestManager
+from ..requests.memory_account import MemoryAccount
 from ..upstream.interface import UNFORWARDED_HEADERS, OutgoingRequest
-from .base import Frontend
+from .base import ClientLimits, Frontend
 from .embeddings_api import ApiRequest, parse_body, read_embeddings, read_rerank
 from .errors import ErrorContent, RequestError, json_error
 from .exchange import AcceptedRequest, ClientRequest, Exchange, ExchangeOwner
@@ -96,10 +97,11 @@
         loop: EventLoop,
         manager: RequestManager,
         config: EmbeddingsConfig,
+        memory: MemoryAccount,
         tenant_of: Callable[[Head], str] = lambda _: "",
     ):
         """Listen as configured; `tenant_of` authenticates a request and returns its tenant."""
-        super().__init__(loop, manager, config.listen, config.max_clients)
+        super().__init__(loop, manager, config.listen, ClientLimits(config.max_clients, memory))
         self.config = config
         self.tenant_of = tenant_of
 
@@ -134,7 +136,7 @@
             tenant=tenant,
         )
         payload = self.outgoing_request(request, key, api_request)
-        return AcceptedRequest(self.manager.accept(arrival, key, payload, exchange), exchange)
+        return self.accept(arrival, payload, exchange, key)
 
     def check_capacity(self) -> None:
         """Reject a request beyond the limit on open ones, which protects chat from overload."""
--- a/claycross/frontends/errors.py
+++ b/claycross/frontends/errors.py
@@ -29,6 +29,15 @@
         self.details = details
 
 
+class CapacityError(RequestError):
+    """A request is rejected for lack of memory; nothing of it has run, so it may be sent again."""
+
+    def __init__(self, message: str, details: dict[str, str], closes: bool = False):
+        """`closes`: the connection is closed, since the rest of the request is not read."""
+        super().__init__(503, message, None, **details)
+        self.closes = closes
+
+
 def plain_text(_status: int, message: str, **_: str) -> ErrorContent:
     """Return an error's headers and body as plain text."""
     return [("Content-Type", "text/plain; charset=utf-8")], message.encode() + b"\n"
--- a/claycross/frontends/exchange.py
+++ b/claycross/frontends/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
 from ..net.http1 import LAST_CHUNK, Head, encode_chunk, encode_response
@@ -35,15 +35,6 @@
         return not self.head.keeps_alive()
 
 
-@dataclass(slots=True)
-class PartialRequest:
-    """The part of a request that has arrived so far."""
-
-    received_at: int  # when its first byte was received; 0 before that
-    head: Head | None = None
-    body: list[bytes] = field(default_factory=list)
-
-
 class ExchangeOwner(Protocol):
     """The interface through which an exchange uses its frontend."""
 
--- a/claycross/frontends/inbox.py
+++ b/claycross/frontends/inbox.py
@@ -7,6 +7,10 @@
 from ..net.http1 import Body, End, Head, MessageParser, PipelineValidator
 from ..net.receive_timestamps import ReceiveTimestamps
 
+# What the interpreter keeps for each, beside the bytes themselves.
+RECORD_BYTES = 136
+PIECE_BYTES = 48
+
 
 class Inbox:
     """The unhandled bytes of a client connection, with their receive times and their parser.
@@ -80,6 +84,23 @@
         """Return the number of buffered bytes."""
         return len(self.parser.buffer) + self.pieces_size
 
+    def held_bytes(self) -> int:
+        """Return how much memory is held: buffered bytes, and what is kept with them."""
+        records = len(self.receive_times.records) * RECORD_BYTES
+        partial = len(self.parser.chunked_body.buffer)
+        if self.validator is not None:
+            partial += len(self.validator.messages.buffer)
+        return self.size() + len(self.pieces) * PIECE_BYTES + records + partial
+
+    def discard(self) -> None:
+        """Free what is buffered; the connection is then to be closed."""
+        self.parser = MessageParser()
+        self.receive_times = ReceiveTimestamps()
+        self.pieces.clear()
+        self.pieces_size = 0
+        self.validator = None
+        self.dropping = False
+
     # ------------------------------------------------------------ requests that are not kept
 
     def drop_further(self) -> None:
--- a/claycross/frontends/metrics.py
+++ b/claycross/frontends/metrics.py
@@ -17,6 +17,8 @@
 )
 from prometheus_client.exposition import generate_latest
 
+from ..requests.memory_account import KindUsage
+
 MEMBERSHIP_PREFIX = "members_"  # of the names of member counts by state
 # Help texts of the membership metrics that are not counts of gateways by state.
 MEMBERSHIP_HELP = {
@@ -44,6 +46,7 @@
     # (upper bound in seconds, iterations of the event loop whose lag was at most that)
     lag_buckets: list[tuple[str, int]] = field(default_factory=list)
     lag_total: float = 0.0  # of all iterations, in seconds
+    memory: list[KindUsage] = field(default_factory=list)  # that clients' requests hold
     # Further counters, named by the modules that keep them.
     other_counters: dict[str, int] = field(default_factory=dict)
     # The other gateways by their state as seen by this one, and counts of membership messages.
@@ -91,6 +94,7 @@
             snapshot.oldest_state,
         )
         yield gauge("gateway_releases", "Releases of read states in flight.", snapshot.releases)
+        yield from memory_gauges(snapshot)
         yield HistogramMetricFamily(
             "gateway_loop_lag_seconds",
             "Lag of the event loop, by iteration.",
@@ -125,6 +129,21 @@
     return metric
 
 
+def memory_gauges(snapshot: MetricsSnapshot) -> Iterator[Metric]:
+    """Return the gauges of the memory that clients' requests hold, and of its bounds."""
+    held = GaugeMetricFamily(
+        "gateway_memory_held_bytes", "Memory held by clients' requests, by kind.", labels=["kind"]
+    )
+    share = GaugeMetricFamily(
+        "gateway_memory_share_bytes", "The most that may be held, by kind.", labels=["kind"]
+    )
+    for usage in snapshot.memory:
+        held.add_metric([usage.kind], usage.held)
+        share.add_metric([usage.kind], usage.share)
+    yield held
+    yield share
+
+
 def membership(snapshot: MetricsSnapshot) -> Iterator[Metric]:
     """Return the gauges of the other gateways, by their state."""
     for name, count in sorted(snapshot.members.items()):
--- a/claycross/gateway/gateway.py
+++ b/claycross/gateway/gateway.py
@@ -9,8 +9,9 @@
 from ..config.settings import AdminConfig, EmbeddingsConfig, GatewayConfig
 from ..discovery.engine_incarnations import EngineIncarnations
 from ..discovery.list_freshness import ListFreshness, freshness_timing
-from ..frontends.admin_api import AdminFrontend, Tenants
+from ..frontends.admin_api import AdminFrontend, AdminService, Tenants
 from ..frontends.admin_socket import MAX_ADMIN_CONNECTIONS, AdminSocket
+from ..frontends.base import ClientLimits
 from ..frontends.chat import ChatFrontend
 from ..frontends.embeddings import EmbeddingsFrontend
 from ..interface import GossipReceived, Settings
@@ -20,6 +21,7 @@
 from ..recovery.state_files import StateFiles
 from ..recovery.state_store import StateStore
 from ..requests.manager import RequestManager
+from ..requests.memory_account import MemoryAccount
 from ..upstream.engine_calls import EngineConnections
 from ..upstream.http1 import ConnectionPool
 from .configuration import Configuration
@@ -105,6 +107,7 @@
             list_freshness=ListFreshness(self.loop.now(), freshness_timing(config.settings)),
             ejections=ejections,
             state_store=StateStore(self.loop, files, ejections, self.log),
+            memory=MemoryAccount(config.memory_limit),
             managers=managers,
         )
 
@@ -225,7 +228,7 @@
             self.loop,
             self.parts.chat,
             self.config.listen,
-            connections,
+            ClientLimits(connections, self.parts.memory),
             inherited_descriptor=self.config.inherited_socket,
             ready=self.commands.is_ready,
         )
@@ -237,12 +240,15 @@
         """Listen for clients of embeddings and, if configured, of the administration API."""
         manager = self.parts.managers[1]
         frontends = self.parts.frontends
+        memory = self.parts.memory
         if not admin:
-            frontends.append(EmbeddingsFrontend(self.loop, manager, embeddings))
+            frontends.append(EmbeddingsFrontend(self.loop, manager, embeddings, memory))
             return
         tenants = Tenants(admin.tenants, embeddings.settings.tenants)
-        frontends.append(EmbeddingsFrontend(self.loop, manager, embeddings, tenants.authenticate))
-        frontends.append(AdminFrontend(self.loop, manager, admin, tenants, self.statistics.status))
+        authenticate = tenants.authenticate
+        frontends.append(EmbeddingsFrontend(self.loop, manager, embeddings, memory, authenticate))
+        service = AdminService(admin, tenants, self.statistics.status)
+        frontends.append(AdminFrontend(self.loop, manager, service, memory))
 
     def open_admin_socket(self) -> None:
         """Listen for operator commands, if an address is configured."""
--- a/claycross/gateway/parts.py
+++ b/claycross/gateway/parts.py
@@ -19,6 +19,7 @@
 from ..recovery.administrative_ejection import AdministrativeEjections
 from ..recovery.state_store import StateStore
 from ..requests.manager import RequestManager
+from ..requests.memory_account import MemoryAccount
 from ..upstream.engine_calls import EngineConnections
 
 if TYPE_CHECKING:
@@ -48,6 +49,7 @@
     list_freshness: ListFreshness
     ejections: AdministrativeEjections
     state_store: StateStore
+    memory: MemoryAccount
     # The chat manager first, then the embeddings manager if configured.
     managers: list[RequestManager]
     engine_connections: list[EngineConnections] = field(
--- a/claycross/gateway/statistics.py
+++ b/claycross/gateway/statistics.py
@@ -22,7 +22,7 @@
 # Debug builds check more often, so that tests detect inconsistencies.
 CHECK_INTERVAL_NS = 100 * MS if __debug__ else 10 * SECOND
 # Name prefixes of the request managers' counts (by reason) that are exported as metrics.
-EXPORTED_COUNT_PREFIXES = ("denied-", "refused-", "closed-")
+EXPORTED_COUNT_PREFIXES = ("denied-", "refused-", "closed-", "ended-", "rejected-")
 
 
 class Statistics:
@@ -35,6 +35,7 @@
         self.started_at = self.loop.unix_time()
         self.loop_metrics: LoopMetrics | None = None
         self.metrics: Metrics | None = None
+        self.logged_refusals = dict(self.parts.memory.refusals)
 
     def start(self) -> None:
         """Start the periodic log lines and consistency checks."""
@@ -71,6 +72,7 @@
         self.log_loop()
         self.log_managers()
         self.log_accept_errors()
+        self.log_memory()
         self.log_peers()
         self.loop.max_lag = 0
         self.loop.call_later(STATISTICS_INTERVAL_NS, self.log_statistics)
@@ -103,6 +105,16 @@
             if ejected:
                 self.log(f"excluded-{manager.name} engines={','.join(ejected)}")
 
+    def log_memory(self) -> None:
+        """Log what clients' requests hold, and that a share had no room since the last time."""
+        memory = self.parts.memory
+        text = " ".join(f"{usage.kind}={usage.held}/{usage.share}" for usage in memory.usage())
+        self.log(f"stats-memory {text} discarded={memory.discarded}")
+        refusals = dict(memory.refusals)
+        if refusals != self.logged_refusals:
+            self.logged_refusals = refusals
+            self.log(f"memory-share-full {format_counts(refusals)} discarded={memory.discarded}")
+
     def log_accept_errors(self) -> None:
         """Log the accept errors of each listener that had any."""
         for frontend in self.parts.frontends:
@@ -148,6 +160,7 @@
             lag_buckets=self.loop.lag_histogram.cumulative(),
             lag_total=self.loop.lag_histogram.total / SECOND,
             other_counters=self.additional_counts(),
+            memory=parts.memory.usage(),
             members=parts.membership.metrics() if parts.membership else {},
         )
 
--- a/claycross/net/connection.py
+++ b/claycross/net/connection.py
@@ -242,7 +242,7 @@
             ConnectionClosedError: If the connection broke or is closed.
             ReadInterrupted: After interrupt().
         """
-        timeout_error: TimeoutExpired | None = None
+        expired = False  # not the exception: it would keep this frame, and be kept by it
         self._adjust_read_size()
         self.loop.end_turn_if_due()
         while True:
@@ -263,12 +263,12 @@
             if self.interrupted:
                 self.interrupted = False
                 raise ReadInterrupted
-            if timeout_error:
-                raise timeout_error
+            if expired:
+                raise TimeoutExpired("no bytes arrived in time")
             try:
                 self.wait(True, timeout)
-            except TimeoutExpired as error:
-                timeout_error = error
+            except TimeoutExpired:
+                expired = True
 
     def _adjust_read_size(self) -> None:
         """Adjust how much is read at once to the time that handling the last read took.
--- a/claycross/net/http1.py
+++ b/claycross/net/http1.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 
+from .chunked_body import ChunkedBodyParser
 from .http1_encoding import HEAD_END, LAST_CHUNK, encode_chunk, encode_request, encode_response
+from .http1_limits import LINE_END, MAX_BODY, MAX_HEAD, MalformedMessageError
 
 __all__ = [
     "LAST_CHUNK",
@@ -30,43 +32,59 @@
     "encode_response",
 ]
 
-MAX_HEAD = 16_384  # bytes of a start line with its headers, and of a chunked body's trailers
-MAX_BODY = 262_144  # bytes
-MAX_CHUNK_LINE_BYTES = 256  # a chunk's size line, or a line of the trailers
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
+HEADER_LINES = re.compile(
+    rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\x00-\x08\x0a-\x1f\x7f]*\r\n)*"  # token ":" value
+)
+HEADER_FIELD = re.compile(r"([^:\r\n]+):([^\r\n]*)\r\n")  # of valid header lines
+FRAMING_FIELD = re.compile(
+    rb"\r\n(content-length|transfer-encoding|host|expect):([^\r\n]*)", re.IGNORECASE
+)
 CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 REQUEST_LINE = re.compile(r"([A-Z]{1,20}) ([!-~]+) HTTP/1\.([01])\Z")
 STATUS_LINE = re.compile(r"HTTP/1\.([01]) ([1-5][0-9]{2})(?: .*)?\Z")
 CONTENT_LENGTH = re.compile(r"[0-9]{1,12}")
-CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?\Z", re.DOTALL)
-PARTIAL_CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{0,8}[ \t]*(?:;.*)?\r?\Z", re.DOTALL)
 SINGLE_HEADERS = ("content-length", "transfer-encoding", "host")  # may not be repeated
-LINE_END = b"\r\n"
 FIRST_FINAL_STATUS = 200  # lower statuses are interim
 SWITCHING_PROTOCOLS = 101
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
-class MalformedMessageError(Exception):
-    """The input is not a valid message of the protocol, or exceeds a limit."""
-
-    def __init__(self, status: int, message: str):
-        super().__init__(message)
-        self.status = status
-
-
 @dataclass(slots=True)
 class Head:
-    """The start line and headers of a message; header names in lower case."""
+    """The start line and headers of a message; header names in lower case.
+
+    The headers are kept as they were received, since objects for each would take fifty times their
+    size. They are parsed when they are first used, and stay parsed until compact() is called.
+    """
 
     method: str = ""
     target: str = ""
     status: int = 0
     minor: int = 1  # minor version of HTTP/1
-    headers: dict[str, str] = field(default_factory=dict)
-    # Names and values as received.
-    raw_headers: list[tuple[str, str]] = field(default_factory=list)
+    fields: bytes = b""  # the header lines as received, each with its line end
+    parsed: dict[str, str] | None = None
+    expects_continue: bool = False  # the sender waits for an interim response before the body
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """The values by name; several with one name are joined with commas."""
+        if self.parsed is None:
+            self.parsed = join_fields(self.raw_headers)
+        return self.parsed
+
+    @property
+    def raw_headers(self) -> list[tuple[str, str]]:
+        """Names and values as received."""
+        return [
+            (name, value.strip(" \t"))
+            for name, value in HEADER_FIELD.findall(self.fields.decode("latin-1"))
+        ]
+
+    def compact(self) -> None:
+        """Keep only the header lines as received."""
+        self.parsed = None
 
     def get(self, name: str, default: str = "") -> str:
         """Return the value of a header; `name` is in lower case."""
@@ -78,6 +96,34 @@
         return "close" not in options and (self.minor == 1 or "keep-alive" in options)
 
 
+def join_fields(fields: list[tuple[str, str]]) -> dict[str, str]:
+    """Return the values of header fields by lower-case name."""
+    headers: dict[str, str] = {}
+    for name, value in fields:
+        key = name.lower()
+        headers[key] = f"{headers[key]}, {value}" if key in headers else value
+    return headers
+
+
+def framing_fields(fields: bytes) -> dict[str, str]:
+    """Return the values of the header fields that determine how a message is read, by name.
+
+    Raises:
+        MalformedMessageError: If one that may not be repeated is.
+    """
+    framing: dict[str, str] = {}
+    for raw_name, raw_value in FRAMING_FIELD.findall(LINE_END + fields):
+        name = raw_name.decode("ascii").lower()
+        value = raw_value.strip(b" \t").decode("latin-1")
+        if name not in framing:
+            framing[name] = value
+        elif name in SINGLE_HEADERS:
+            raise MalformedMessageError(400, f"{name} stands twice")
+        else:
+            framing[name] = f"{framing[name]}, {value}"
+    return framing
+
+
 @dataclass(slots=True)
 class Body:
     """A piece of a message's body."""
@@ -93,114 +139,6 @@
 Part = Head | Body | End
 
 
-class ChunkState(StrEnum):
-    """What the parser of a chunked body expects next."""
-
-    SIZE = "size"
-    DATA = "data"
-    DATA_END = "after"
-    TRAILER = "trailer"
-
-
-# Module constants, as a lookup in the enum would cost time for every chunk.
-CHUNK_STATE_SIZE = ChunkState.SIZE
-CHUNK_STATE_DATA = ChunkState.DATA
-CHUNK_STATE_DATA_END = ChunkState.DATA_END
-CHUNK_STATE_TRAILER = ChunkState.TRAILER
-
-
-class ChunkedBodyParser:
-    """Parses a chunked body (RFC 9112, 7.1); `complete` is set at its end."""
-
-    def __init__(self, max_chunk: int = MAX_BODY) -> None:
-        self.max_chunk = max_chunk  # bytes
-        self.buffer = b""
-        self.position = 0  # of the first byte in the buffer that is not parsed yet
-        self.state = CHUNK_STATE_SIZE
-        self.remaining = 0  # bytes of the current chunk that have not arrived
-        self.trailer_size = 0  # bytes of trailers so far
-        self.complete = False
-
-    def at_boundary(self) -> bool:
-        """Return whether no chunk has arrived in part."""
-        return self.complete or (self.state is CHUNK_STATE_SIZE and not self.buffer)
-
-    def feed(self, data: bytes) -> tuple[bytes, bytes]:
-        """Add bytes; return the new bytes of the body, and the bytes after its end."""
-        self.buffer += data
-        self.position = 0
-        pieces: list[bytes] = []
-        progress = True
-        while progress and not self.complete:
-            if self.state is CHUNK_STATE_DATA:
-                progress = self.read_data(pieces)
-            elif self.state is CHUNK_STATE_DATA_END:
-                progress = self.read_data_end()
-            else:
-                progress = self.read_line()
-        rest = self.buffer[self.position :]
-        self.buffer = b"" if self.complete else rest
-        return b"".join(pieces), rest if self.complete else b""
-
-    def read_data(self, pieces: list[bytes]) -> bool:
-        """Parse a piece of a chunk's data; return False if more input is needed."""
-        piece = self.buffer[self.position : self.position + self.remaining]
-        if not piece:
-            return False
-        self.position += len(piece)
-        self.remaining -= len(piece)
-        pieces.append(piece)
-        if not self.remaining:
-            self.state = CHUNK_STATE_DATA_END
-        return True
-
-    def read_data_end(self) -> bool:
-        """Parse the end of line after a chunk's data; return False if more input is needed."""
-        if not self.buffer.startswith(LINE_END, self.position):
-            if self.buffer[self.position :] in (b"", b"\r"):
-                return False
-            raise MalformedMessageError(400, "a chunk is longer than its size says")
-        self.position += len(LINE_END)
-        self.state = CHUNK_STATE_SIZE
-        return True
-
-    def read_line(self) -> bool:
-        """Parse a size line or a line of the trailers; return False if more input is needed."""
-        end = self.buffer.find(LINE_END, self.position)
-        if end < 0:
-            self.check_partial_line()
-            return False
-        line = self.buffer[self.position : end]
-        self.position = end + len(LINE_END)
-        if self.state is CHUNK_STATE_SIZE:
-            self.read_size(line)
-        elif not line:
-            self.complete = True
-        else:
-            self.trailer_size += len(line)
-            if self.trailer_size > MAX_HEAD or b":" not in line:
-                raise MalformedMessageError(400, "bad trailer")
-        return True
-
-    def check_partial_line(self) -> None:
-        """Reject a partial line that is already malformed, as its end may never arrive."""
-        line = self.buffer[self.position :]
-        if len(line) > MAX_CHUNK_LINE_BYTES:
-            raise MalformedMessageError(400, "a chunk's size line is too long")
-        if self.state is CHUNK_STATE_SIZE and not PARTIAL_CHUNK_SIZE.match(line):
-            raise MalformedMessageError(400, "a chunk's size is no number")
-
-    def read_size(self, line: bytes) -> None:
-        """Parse a chunk's size line; after a size of 0 the trailers follow."""
-        size = CHUNK_SIZE.match(line)
-        if not size:
-            raise MalformedMessageError(400, "a chunk's size is no number")
-        self.remaining = int(size[1], 16)
-        if self.remaining > self.max_chunk:
-            raise MalformedMessageError(413, "a chunk is too large")
-        self.state = CHUNK_STATE_DATA if self.remaining else CHUNK_STATE_TRAILER
-
-
 class MessageState(StrEnum):
     """What the parser of a connection expects next."""
 
@@ -307,14 +245,15 @@
         if end < 0:
             self.check_partial_head()
             return None
-        start_line, *lines = self.buffer[:end].split(LINE_END)
+        start_line, _, fields = self.buffer[: end + len(LINE_END)].partition(LINE_END)
         self.buffer = self.buffer[end + len(HEAD_END) :]
         self.checked = 0
         head = self.parse_start_line(start_line.decode("latin-1"))
         self.head = head
         self.head_count += 1
-        for line in lines:
-            self.add_header(head, line)
+        if not HEADER_LINES.fullmatch(fields):
+            raise MalformedMessageError(400, "a header line is malformed")
+        head.fields = fields
         self.choose_framing(head)
         return head
 
@@ -341,31 +280,16 @@
                 return
             line = self.buffer[self.checked : end]
             if self.checked:
-                self.split_header(line)
+                self.check_header(line)
             else:
                 self.parse_start_line(line.decode("latin-1"))
             self.checked = end + len(LINE_END)
 
-    def add_header(self, head: Head, line: bytes) -> None:
-        """Parse a header line and add it to the head."""
-        raw_name, raw_value = self.split_header(line)
-        name = raw_name.decode("ascii")
-        value = raw_value.strip(b" \t").decode("latin-1")
-        key = name.lower()
-        if key in head.headers:
-            if key in SINGLE_HEADERS:
-                raise MalformedMessageError(400, f"{key} stands twice")
-            head.headers[key] = f"{head.headers[key]}, {value}"
-        else:
-            head.headers[key] = value
-        head.raw_headers.append((name, value))
-
-    def split_header(self, line: bytes) -> tuple[bytes, bytes]:
-        """Return the name and the value of a header line."""
+    def check_header(self, line: bytes) -> None:
+        """Reject a header line that is malformed."""
         name, colon, value = line.partition(b":")
         if not colon or not TOKEN.match(name) or CONTROL_CHARACTER.search(value):
             raise MalformedMessageError(400, "a header line is malformed")
-        return name, value
 
     def parse_start_line(self, line: str) -> Head:
         """Parse a request line or a status line."""
@@ -385,8 +309,10 @@
         A length together with a transfer coding, or a length that is not a number, is rejected, as
         both allow request smuggling.
         """
-        coding = head.headers.get("transfer-encoding")
-        length = head.headers.get("content-length")
+        framing = framing_fields(head.fields)
+        coding = framing.get("transfer-encoding")
+        length = framing.get("content-length")
+        head.expects_continue = framing.get("expect", "").lower() == "100-continue"
         self.body_size = 0
         if coding is not None and (
             coding.lower() != "chunked" or length is not None or not head.minor
--- a/claycross/requests/manager.py
+++ b/claycross/requests/manager.py
@@ -23,7 +23,7 @@
 from .protocols import Clock, Reply
 from .records import Attempt, Request, RequestEnd
 from .release_coordinator import ReleaseCoordinator, ReleaseGauges
-from .request_metrics import RequestMetrics
+from .request_metrics import ReplyStatus, RequestMetrics
 from .request_registry import RequestRegistry
 from .reserved_states import ReservationStatus, ReservedStates
 from .router_driver import RouterDriver
@@ -115,9 +115,9 @@
         """Add to a counter."""
         self.metrics.count(name, number)
 
-    def count_frontend_rejection(self, name: str) -> None:
-        """Count a request of this class that a frontend failed before it was accepted."""
-        self.metrics.count_frontend_rejection(name)
+    def count_frontend_rejection(self, name: str, status: ReplyStatus = ReplyStatus.ERROR) -> None:
+        """Count a request of this class that a frontend answered before it was accepted."""
+        self.metrics.count_frontend_rejection(name, status)
 
     def ejected_engines(self) -> list[str]:
         """Return the engines that the router has ejected as outliers at present."""
@@ -481,6 +481,9 @@
             request.deadline_timer.cancel()
         request.payload = None
         request.attempts.clear()
+        if request.on_forgotten:
+            request.on_forgotten()
+            request.on_forgotten = None
         detail = f"request {request.key} ended with states at {list(request.states.holders())}"
         released = not request.states.states or request.states_released
         invariant(released or request.streaming_attempt is not None, "let-go", detail)
--- a/claycross/requests/records.py
+++ b/claycross/requests/records.py
@@ -53,6 +53,7 @@
     deadline_timer: ScheduledCall | None = None
     release_timer: ScheduledCall | None = None  # when its states have to be released
     waiting_read: WaitingRead | None = None
+    on_forgotten: Callable[[], None] | None = None  # called once it is not tracked any more
 
     def attempts_in_flight(self) -> list[Attempt]:
         """Return the attempts that may be at engines."""
--- a/claycross/requests/request_metrics.py
+++ b/claycross/requests/request_metrics.py
@@ -81,10 +81,12 @@
         key = (class_name, status.value)
         self.reply_counts[key] = self.reply_counts.get(key, 0) + 1
 
-    def count_frontend_rejection(self, class_name: str) -> None:
-        """Count a request that a frontend failed before it was accepted."""
+    def count_frontend_rejection(
+        self, class_name: str, status: ReplyStatus = ReplyStatus.ERROR
+    ) -> None:
+        """Count a request that a frontend answered before it was accepted."""
         if class_name in self.classes:
-            self.count_reply(class_name, ReplyStatus.ERROR)
+            self.count_reply(class_name, status)
 
     def request_arrived(self, request: Request, arrival: i.RequestArrived) -> None:
         """Count and trace an accepted request."""
--- a/claycross/upstream/interface.py
+++ b/claycross/upstream/interface.py
@@ -31,6 +31,11 @@
     return True
 
 
+REQUEST_BYTES = 8192  # the records of a request and of its attempts, and its connection's task
+HEADER_BYTES = 170  # the objects of one header field, beside its text
+COPIES = 2  # of a request: as it is kept, and as it is being sent
+
+
 @dataclass(slots=True)
 class OutgoingRequest:
     """A client's request as it is forwarded to engines."""
@@ -45,6 +50,11 @@
     # Whether the body of a response that is not an event stream is complete.
     is_complete: Callable[[bytes], bool] = any_body_is_complete
 
+    def held_bytes(self) -> int:
+        """Return how much memory is held for it, with one attempt that is being sent."""
+        fields = sum(len(name) + len(value) + HEADER_BYTES for name, value in self.headers)
+        return REQUEST_BYTES + COPIES * (len(self.body) + fields)
+
 
 class AttemptEnd(NamedTuple):
     """The result of an attempt."""
--- a/tests/requests/test_preconditions.py
+++ b/tests/requests/test_preconditions.py
@@ -5,11 +5,12 @@
 from hypothesis import strategies as st
 
 from claycross import interface as i
-from claycross.frontends.base import Frontend
+from claycross.frontends.base import ClientLimits, Frontend
 from claycross.invariant import InvariantError
 from claycross.net.loop import EventLoop
 from claycross.requests import preconditions
 from claycross.requests.manager import RequestManager
+from claycross.requests.memory_account import MemoryAccount
 from claycross.requests.preconditions import Denial, EarlierAttempt, SendFacts, StartFacts
 from tests.routing.router_harness import MS, SECOND, entry, settings
 
@@ -198,7 +199,7 @@
 )
 def test_frontend_reports_a_connection_closed_on_an_unanswered_request(finished, closed, violated):
     loop = EventLoop()
-    frontend = Frontend(loop, None, ("127.0.0.1", 0), 16)
+    frontend = Frontend(loop, None, ("127.0.0.1", 0), ClientLimits(16, MemoryAccount(1 << 28)))
     connection = type(
         "Connection",
         (),
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -24,11 +24,18 @@
     "statistics",
     "typing",
 }
-PROTOCOL_FILES = {"http1.py", "http1_encoding.py", "http2.py", "line_protocol.py"}
+PROTOCOL_FILES = {
+    "chunked_body.py",
+    "http1.py",
+    "http1_encoding.py",
+    "http2.py",
+    "line_protocol.py",
+}
 INTERFACE = ROOT / "interface.py"
 # Packages, and single files of other packages, that do no I/O and read no clock.
 PURE_PACKAGES = ("routing", "fleet")
 PURE_SINGLE_FILES = (
+    "requests/memory_account.py",
     "requests/preconditions.py",
     "requests/reserved_states.py",
     "requests/state_release.py",
