What must not be under way at the kill is ended before it, whatever its engine does

Ruled out: admission. The requests could have ended in time; their engine hung 0.3 s later.

Cause: the shutdown's schedule bound what begins, and requests without a first event, but no stream unless clients resume. A stream's own idle timeout, 4.5 s, is longer than the whole shutdown.

Change: the schedule has a last moment, 0.25 s before the earliest kill. What came before 0.55 s is left alone.

Why it works: the ending is started by the process's own timer, and passes every open request.

--- a/claycross/gateway/lifecycle.py
+++ b/claycross/gateway/lifecycle.py
@@ -15,6 +15,7 @@
 from ..net.address import Address
 from ..net.loop import MS
 from ..recovery.shutdown_schedule import ShutdownSchedule
+from ..requests.answer_endings import end_late_answers, hand_back_streams
 from .endpoint_updates import EndpointUpdates
 from .parts import GatewayParts
 from .version import VERSION
@@ -116,7 +117,8 @@
             parts.membership.stop(schedule.answered)
         self.log(f"stopping open={sum(len(manager.requests) for manager in parts.managers)}")
         for manager in parts.managers:
-            manager.start_shutdown(schedule.unrestricted, schedule.answered)
+            manager.start_shutdown(schedule.unrestricted, schedule.answered, schedule.counted)
+            self.loop.call_later(schedule.cut_off, partial(end_late_answers, manager))
         self.stop_frontends(schedule)
         self.loop.call_later(schedule.accepts, self.exit_when_finished)
         remaining = schedule.answered - schedule.hand_back
@@ -152,7 +154,7 @@
         """
         batches_left = max(1, (deadline - self.loop.now()) // HAND_BACK_INTERVAL_NS)
         for manager in self.parts.managers:
-            manager.hand_back_streams(batches_left)
+            hand_back_streams(manager, batches_left)
         if any(manager.requests for manager in self.parts.managers):
             self.loop.call_later(HAND_BACK_INTERVAL_NS, partial(self.hand_back, deadline))
 
--- a/claycross/recovery/shutdown_schedule.py
+++ b/claycross/recovery/shutdown_schedule.py
@@ -17,9 +17,13 @@
 KILL_AFTER_DEADLINE_NS = 700 * MS
 # From the end of all replies to the kill, as the process may stall and clients may read slowly.
 ANSWER_MARGIN_NS = 400 * MS
+# From the end of answers that are still under way to the kill. The signal may have been handled
+# late, and the process may be held up once more before what it ends has reached its clients.
+CUT_OFF_MARGIN_NS = 250 * MS
 # What arrives later must not be under way at the kill. The platform allows 700 ms; the rest is for
 # a signal that is handled late, and for bytes that are taken for earlier ones after a stall.
 UNRESTRICTED_TIME_NS = 550 * MS
+COUNTED_AFTER_NS = 700 * MS  # the platform's own figure
 # The clients' load balancer needs up to 400 ms to notice that this process is draining.
 ACCEPT_TIME_NS = 500 * MS
 # From the last accept of connections in the kernel's queue to the end of all replies.
@@ -39,6 +43,8 @@
     accepts_queued: int  # connections in the kernel's queue are accepted until then
     hand_back: int  # streams that still run are ended from then on
     answered: int  # every request is answered and every stream has ended by then
+    counted: int  # requests that arrive later must not be under way at the kill
+    cut_off: int  # what has not ended then, and must not be under way at the kill, is ended
 
     @staticmethod
     def for_deadlines(deadlines: Iterable[int]) -> ShutdownSchedule:
@@ -56,4 +62,6 @@
             accepts_queued=max(accepts, answered - QUEUE_MARGIN_NS),
             hand_back=answered - hand_back_span,
             answered=answered,
+            counted=COUNTED_AFTER_NS,
+            cut_off=answered + ANSWER_MARGIN_NS - CUT_OFF_MARGIN_NS,
         )
--- a/claycross/requests/arrivals.py
+++ b/claycross/requests/arrivals.py
@@ -47,15 +47,16 @@
         self.waiting: dict[int, WaitingArrival] = {}  # by the number of the request
         self.shutdown = ShutdownAdmission()
 
-    def start_shutdown(self, unrestricted_for: int, ends_in: int) -> None:
+    def start_shutdown(self, unrestricted_for: int, ends_in: int, counted_after: int) -> None:
         """Take on only what can be answered within `ends_in` nanoseconds.
 
         What arrives within `unrestricted_for` nanoseconds may be cut off then, and so may what
-        arrives later where clients resume streams.
+        arrives later where clients resume streams. What arrives after `counted_after` nanoseconds
+        certainly may not.
         """
         now = self.clock.now()
         restricted_after = ends_in if self.settings.clients_resume else unrestricted_for
-        self.shutdown.start(now + restricted_after, now + ends_in)
+        self.shutdown.start(now + restricted_after, now + ends_in, now + counted_after)
 
     def fits(self, arrival: i.RequestArrived, received_at: int) -> bool:
         """Limit the time for the first token to what a shutdown leaves; False: that is too short.
--- a/claycross/requests/manager.py
+++ b/claycross/requests/manager.py
@@ -150,9 +150,9 @@
         """Record that the result of an attempt is about to be reported to the router."""
         self.requests[event.request].unreported_attempts -= 1
 
-    def start_shutdown(self, unrestricted_for: int, ends_in: int) -> None:
+    def start_shutdown(self, unrestricted_for: int, ends_in: int, counted_after: int) -> None:
         """Take on only what can be answered in time; see ArrivalControl.start_shutdown()."""
-        self.arrivals.start_shutdown(unrestricted_for, ends_in)
+        self.arrivals.start_shutdown(unrestricted_for, ends_in, counted_after)
         self.enqueue(i.ShutdownStarted())
 
     # ------------------------------------------------------------ the client's side
@@ -170,7 +170,8 @@
         `received_at`: when its last byte arrived; 0: now.
         """
         now = self.clock.now()
-        fits = self.arrivals.fits(arrival, received_at or now)
+        received_at = received_at or now
+        fits = self.arrivals.fits(arrival, received_at)
         arrival.request = self.registry.next_number()
         request = Request(
             number=arrival.request,
@@ -183,6 +184,7 @@
             prompt_tokens=arrival.prompt_tokens,
             max_output_tokens=arrival.max_output_tokens,
             arrived_at=now,
+            received_at=received_at,
         )
         self.registry.add(request)
         self.metrics.request_arrived(request, arrival)
@@ -260,28 +262,12 @@
             self.finish_request(request, RequestEnd.FAILED)
             request.reply.fail()
 
-    def hand_back_stream(self, request: Request) -> None:
-        """End a stream before its last chunk, so that its client requests the rest again."""
-        attempt = request.streaming_attempt
-        if attempt and not attempt.finished:
+    def end_stream(self, attempt: Attempt) -> None:
+        """End a stream before its last chunk, so that its client knows that it is not complete."""
+        if not attempt.finished:
             self.engine_calls.abort(attempt)
             self.attempt_done(attempt, i.AttemptResult.CANCELLED)
 
-    def hand_back_streams(self, remaining_calls: int) -> None:
-        """End a share of the streams, so that none is left after the remaining calls of this.
-
-        Called in a gateway that stops, and of effect only where clients resume streams. Streams
-        that started last have the most left to send, so they are ended first.
-        """
-        if not self.settings.clients_resume:
-            return
-        running = self.registry.running_streams()
-        running.sort(key=lambda stream: -stream.started_at)
-        stream_count = -(-len(running) // remaining_calls)  # rounded up
-        for attempt in running[:stream_count]:
-            self.count("handed-back")
-            self.hand_back_stream(attempt.request)
-
     # ------------------------------------------------------------ the engines' side
 
     def update_endpoints(self, event: i.EndpointListUpdate) -> None:
@@ -334,6 +320,7 @@
         now = self.clock.now()
         request.streaming_attempt = attempt
         attempt.streaming = True
+        attempt.last_event_at = now
         request.time_to_first_token = now - request.arrived_at
         self.engine_responded(attempt.engine)
         self.state_releases.answer_started(request)
@@ -346,8 +333,12 @@
 
     def forward(self, attempt: Attempt, data: bytes) -> None:
         """Forward a chunk of a stream to the client."""
-        if not attempt.finished:
-            attempt.request.reply.write(data)
+        if attempt.finished:
+            return
+        now = self.clock.now()
+        attempt.longest_pause = max(attempt.longest_pause, now - attempt.last_event_at)
+        attempt.last_event_at = now
+        attempt.request.reply.write(data)
 
     def idle_timeout(self, attempt: Attempt) -> int:
         """Return the stream's idle timeout; 0: not started, so the attempt's timeout applies."""
@@ -403,7 +394,7 @@
         if is_complete:
             duration = self.clock.now() - request.arrived_at - request.time_to_first_token
             self.arrivals.shutdown.record_answer(
-                request.class_name, request.max_output_tokens, duration
+                request.class_name, request.max_output_tokens, duration, attempt.longest_pause
             )
         self.finish_request(request, RequestEnd.SERVED if is_complete else RequestEnd.STREAM_BROKEN)
         self.finish_attempt(attempt, result, cached_tokens, report)
--- a/claycross/requests/records.py
+++ b/claycross/requests/records.py
@@ -41,7 +41,8 @@
     class_name: str
     prompt_tokens: int
     max_output_tokens: int  # the longest answer that the client allows; 0: unknown
-    arrived_at: int
+    arrived_at: int  # when it was accepted
+    received_at: int  # when its last byte arrived
     time_to_first_token: int = 0  # ns from the arrival
     attempts: list[Attempt] = field(default_factory=list)
     finished: bool = False  # terminal: answered, failed, rejected or disconnected
@@ -83,6 +84,8 @@
     sent_at: int = 0  # when its last byte was written; 0: not yet
     finished: bool = False
     streaming: bool = False
+    last_event_at: int = 0  # when the last part of its stream arrived
+    longest_pause: int = 0  # between two parts of its stream, in ns
     result: str = ""  # an `AttemptResult` once it has finished
     # Set by the engine side once the first byte is sent; aborts the attempt, and returns False if
     # it never ran.
--- a/claycross/requests/shutdown_admission.py
+++ b/claycross/requests/shutdown_admission.py
@@ -3,7 +3,10 @@
 A process that stops is killed at a time that it knows. A request is taken on only if its answer can
 end before that. The upper bound of an answer's duration is the length that the request allows, at
 the pace of its class: the target of the settings, or a slower pace that was measured. Measured
-answers may lower the bound once there are enough of them. This module does no I/O and reads no
+answers may lower the bound once there are enough of them.
+
+An engine may hang after all, or be slower than expected: what is still under way shortly before
+the kill is ended by this process, so that its client can tell. This module does no I/O and reads no
 clock; times are nanoseconds.
 """
 
@@ -19,6 +22,8 @@
 MIN_ANSWERS_FOR_LOWER_BOUND = 64
 # Multiple of the slowest measured answer that such a bound is.
 MEASURED_BOUND_MARGIN = 1.5
+# An engine whose stream pauses for less is not taken for silent.
+MIN_SILENCE_NS = 300_000_000
 FIRST_TOKEN_GAIN = 0.1  # weight of a new measurement of the time to the first token
 
 
@@ -28,6 +33,8 @@
     def __init__(self) -> None:
         # Duration of each answer divided by the number of tokens that its request allowed, in ns.
         self.paces: deque[float] = deque(maxlen=MAX_MEASURED_ANSWERS)
+        # The longest pause between events of each answer, in ns.
+        self.pauses: deque[int] = deque(maxlen=MAX_MEASURED_ANSWERS)
         self.first_token_time = 0.0  # a moving average, in ns; 0: nothing was measured
 
     def record_first_token(self, elapsed: int) -> None:
@@ -35,11 +42,22 @@
         gain = FIRST_TOKEN_GAIN if self.first_token_time else 1.0
         self.first_token_time += gain * (elapsed - self.first_token_time)
 
-    def record_answer(self, max_output_tokens: int, duration: int) -> None:
-        """Record the time from the first token of a complete answer to its end."""
+    def record_answer(self, max_output_tokens: int, duration: int, pause: int = 0) -> None:
+        """Record a complete answer.
+
+        Args:
+            max_output_tokens: The length that its request allowed; 0: unknown.
+            duration: From its first token to its end.
+            pause: The longest time between two of its events.
+        """
+        self.pauses.append(pause)
         if max_output_tokens > 0:
             self.paces.append(duration / max_output_tokens)
 
+    def longest_pause(self) -> int:
+        """Return the longest pause within an answer of the class so far."""
+        return max(self.pauses, default=0)
+
     def pace_bound(self, objective: int) -> float | None:
         """Return the slowest pace to expect, in ns per allowed token; None if it is unknown.
 
@@ -57,11 +75,13 @@
     def __init__(self) -> None:
         self.answer_times: dict[str, AnswerTimes] = {}  # by the name of the class
         self.restricted_from = 0  # requests that arrive later are restricted; 0: not stopping
+        self.counted_from = 0  # requests that arrive later must not be under way at the kill
         self.ends_at = 0  # when every answer has to have ended
 
-    def start(self, restricted_from: int, ends_at: int) -> None:
+    def start(self, restricted_from: int, ends_at: int, counted_from: int = 0) -> None:
         """Note when the shutdown ends, and from when on what arrives has to end before that."""
         self.restricted_from = restricted_from
+        self.counted_from = max(restricted_from, counted_from)
         self.ends_at = ends_at
 
     def times_of(self, class_name: str) -> AnswerTimes:
@@ -72,9 +92,31 @@
         """Record the time from a request's arrival to its first token."""
         self.times_of(class_name).record_first_token(elapsed)
 
-    def record_answer(self, class_name: str, max_output_tokens: int, duration: int) -> None:
-        """Record the time from the first token of a complete answer to its end."""
-        self.times_of(class_name).record_answer(max_output_tokens, duration)
+    def record_answer(
+        self, class_name: str, max_output_tokens: int, duration: int, pause: int
+    ) -> None:
+        """Record a complete answer; see AnswerTimes.record_answer()."""
+        self.times_of(class_name).record_answer(max_output_tokens, duration, pause)
+
+    def is_silent(self, class_name: str, silent_for: int) -> bool:
+        """Return whether a stream has brought nothing for longer than any of its class paused."""
+        return silent_for > max(MIN_SILENCE_NS, self.times_of(class_name).longest_pause())
+
+    def must_end(self, class_name: str, arrived_at: int, silent_for: int) -> bool:
+        """Return whether an answer that is under way shortly before the kill is to be ended.
+
+        What arrived early keeps the rest of the time: the kill may cut it off, and until then it
+        may end well. Between `restricted_from` and `counted_from` it is not certain whether the
+        request counts as early: its stream is ended only if no event of it is arriving any more.
+
+        Args:
+            class_name: The class of the request.
+            arrived_at: When its last byte arrived.
+            silent_for: For how long its stream has brought nothing.
+        """
+        if not self.ends_at or arrived_at < self.restricted_from:
+            return False
+        return arrived_at >= self.counted_from or self.is_silent(class_name, silent_for)
 
     def answer_bound(
         self, request_class: RequestClass | None, max_output_tokens: int
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -1,5 +1,11 @@
-"""The times of a stop lie in order before the kill, whatever the deadlines."""
+"""The times of a stop lie in order before the kill, and nothing late is under way at it."""
 
+import contextlib
+import signal
+import threading
+import time
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -8,8 +14,12 @@
     MAX_COUNTED_DEADLINE_NS,
     ShutdownSchedule,
 )
+from standins.servers import EVENTS, Engine, chat, eventually
 from tests.routing.router_harness import MS, SECOND
 
+KILL_S = 3.7  # after SIGTERM, for these deadlines
+SENT_S = (0.8, 1.0, 1.4)  # after SIGTERM
+
 
 @given(st.lists(st.integers(0, 60 * SECOND), max_size=6))
 def test_all_is_done_before_the_earliest_kill(deadlines):
@@ -21,9 +31,61 @@
     assert 0 < times.accepts <= times.accepts_queued <= times.answered <= kill - 300 * MS
     assert 0 < times.unrestricted <= min(times.answered, 550 * MS)
     assert 0 < times.hand_back < times.answered
+    assert times.answered <= times.cut_off <= kill - 250 * MS
 
 
 def test_usual_deadlines_have_the_usual_times():
     assert ShutdownSchedule.for_deadlines([6 * SECOND, 15 * SECOND]) == ShutdownSchedule(
-        500 * MS, 550 * MS, 3000 * MS, 2400 * MS, 3300 * MS
+        500 * MS, 550 * MS, 3000 * MS, 2400 * MS, 3300 * MS, 700 * MS, 3450 * MS
     )
+
+
+class HangingWriter(Engine):
+    """Sends some events of each stream, or none, and then nothing until it is closed."""
+
+    def __init__(self, events):
+        super().__init__("d", plan=HangingWriter.answer)
+        self.events, self.closing = events, threading.Event()
+
+    def answer(self, message, wire):
+        if self.events:
+            wire.begin()
+            for event in EVENTS[: self.events]:
+                wire.event(event)
+        self.closing.wait(10)
+
+
+@pytest.mark.parametrize("events", [0, 1, len(EVENTS)], ids=["none", "first", "all but the end"])
+def test_nothing_that_came_late_is_under_way_at_the_kill_beside_an_engine_that_hangs(site, events):
+    """Guards against review case 9: streams taken 0.9 s after SIGTERM waited for their engine
+    until SIGKILL."""
+    writer = HangingWriter(events)
+    gateway = site(Engine("p"), writer, release=True, family={"token-aim": [10 * MS]})
+    clients = [gateway.client().__enter__() for _ in SENT_S]
+    terminated_at = time.monotonic()
+    gateway.process.send_signal(signal.SIGTERM)
+    ended_at = []
+
+    def ask(client, sent_s):
+        time.sleep(max(0.0, terminated_at + sent_s - time.monotonic()))
+        chat(client, X_Attrs="prompt_len=100,max_out=8")
+        with contextlib.suppress(OSError, AssertionError, ValueError, AttributeError):
+            client.rest(client.status())
+        ended_at.append(time.monotonic() - terminated_at)
+        client.__exit__()
+
+    asking = [
+        threading.Thread(target=ask, args=(client, sent_s), daemon=True)
+        for client, sent_s in zip(clients, SENT_S, strict=True)
+    ]
+    try:
+        for thread in asking:
+            thread.start()
+        eventually(lambda: gateway.process.poll() is not None, within=KILL_S + 4)
+        took = time.monotonic() - terminated_at
+        for thread in asking:
+            thread.join(8)
+        assert writer.asked, "no request was taken on"
+        assert max(ended_at) < KILL_S and took < KILL_S
+    finally:
+        writer.closing.set()
--- a/tests/requests/test_shutdown_admission.py
+++ b/tests/requests/test_shutdown_admission.py
@@ -6,7 +6,7 @@
 
 import math
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pytest
 from hypothesis import Phase, given, settings
@@ -14,6 +14,7 @@
 
 from claycross import interface as i
 from claycross.recovery.shutdown_schedule import ShutdownSchedule
+from claycross.requests import answer_endings
 from claycross.requests.shutdown_admission import (
     MEASURED_BOUND_MARGIN,
     MIN_ANSWERS_FOR_LOWER_BOUND,
@@ -41,6 +42,7 @@
     first_token_ns: int  # from the start of a write to the first token
     tokens: int
     interval_ns: int  # between tokens
+    tokens_before_silence: int | None = None  # the engine hangs after them; None: it does not
 
     def duration(self):
         return self.tokens * self.interval_ns
@@ -54,6 +56,7 @@
     first_token_ns=st.integers(0, 300 * MS),
     tokens=st.integers(0, MAX_OUTPUT_TOKENS),
     interval_ns=st.integers(TOKEN_INTERVAL_NS // 2, TOKEN_INTERVAL_NS),
+    tokens_before_silence=st.one_of(st.none(), st.none(), st.integers(0, MAX_OUTPUT_TOKENS)),
 )
 
 
@@ -79,7 +82,17 @@
 
     def begin(self, attempt):
         if not attempt.finished and self.manager.stream_started(attempt):
-            self.later(self.answer.duration(), self.end, attempt, i.AttemptResult.OK)
+            self.stream(attempt, 0)
+
+    def stream(self, attempt, number):
+        """Send one token after the other until the engine falls silent, or the answer ends."""
+        if number == self.answer.tokens_before_silence:
+            return
+        if number == self.answer.tokens:
+            self.end(attempt, i.AttemptResult.OK)
+            return
+        self.manager.forward(attempt, b"token")
+        self.later(self.answer.interval_ns, self.stream, attempt, number + 1)
 
     def end(self, attempt, result):
         self.manager.attempt_done(attempt, result)
@@ -122,7 +135,8 @@
     schedule = ShutdownSchedule.for_deadlines(
         spec.timeout for spec in manager.settings.classes.values()
     )
-    manager.start_shutdown(schedule.unrestricted, schedule.answered)
+    manager.start_shutdown(schedule.unrestricted, schedule.answered, schedule.counted)
+    clock.call_later(schedule.cut_off, lambda: answer_endings.end_late_answers(manager))
     return manager, clock
 
 
@@ -137,9 +151,13 @@
     manager.update_endpoints(i.EndpointListUpdate(i.UpdateKind.FULL, entries))
 
 
-def play(class_name, arrives_at, max_output_tokens, answer):
-    """Return how a request was answered by the time of the kill; "": it was not."""
+def play(class_name, arrives_at, max_output_tokens, answer, known_pause=0):
+    """Return how a request was answered by the time of the kill; "": it was not.
+
+    `known_pause`: the longest pause within an earlier answer of its class.
+    """
     manager, clock = stopping_manager()
+    manager.arrivals.shutdown.times_of(class_name).pauses.append(known_pause)
     manager.engine_calls = Engines(manager, clock, answer)
     started_at = clock.now()
     run_until(manager, clock, started_at + arrives_at)
@@ -175,7 +193,8 @@
         answer.tokens = min(answer.tokens, allowed)
         result = play(class_name, arrives_at, allowed, answer)
         results[result] += 1
-        assert result in ("served", "refused", "failed")
+        hangs = answer.tokens_before_silence is not None
+        assert result in ("served", "refused", "failed", *(["broken"] if hangs else []))
 
     check()
     return results
@@ -183,7 +202,7 @@
 
 def test_nothing_that_came_late_is_under_way_at_the_kill():
     results = search()
-    assert results["served"] and results["refused"], results
+    assert results["served"] and results["refused"] and results["broken"], results
 
 
 def test_the_search_finds_the_rule_that_counted_only_the_first_token(monkeypatch):
@@ -195,6 +214,13 @@
         search(phases=[Phase.generate])
 
 
+def test_the_search_finds_a_shutdown_that_waits_for_a_silent_engine(monkeypatch):
+    """Guards against review case 9: nothing ended a stream whose engine hung until the kill."""
+    monkeypatch.setattr(answer_endings, "end_late_answers", lambda manager: None)
+    with pytest.raises(AssertionError):
+        search(phases=[Phase.generate])
+
+
 QUICK = Answer(0, 10 * MS, 0, 10 * MS, 8, TOKEN_INTERVAL_NS)
 
 
@@ -208,6 +234,23 @@
     assert play("once", arrives_at, MAX_OUTPUT_TOKENS, QUICK) == "refused"
 
 
+@pytest.mark.parametrize(
+    ("arrives_at", "result"),
+    [(300 * MS, ""), (600 * MS, "broken"), (BINDING_AFTER_NS, "broken"), (1500 * MS, "broken")],
+)
+def test_a_stream_of_a_silent_engine_is_ended_unless_it_came_early(arrives_at, result):
+    hanging = replace(QUICK, tokens_before_silence=3)
+    assert play("ask", arrives_at, QUICK.tokens, hanging) == result
+
+
+@pytest.mark.parametrize(("arrives_at", "result"), [(650 * MS, ""), (750 * MS, "broken")])
+def test_a_stream_whose_events_still_come_is_ended_only_if_it_must_not_be_under_way(
+    arrives_at, result
+):
+    slow = replace(QUICK, interval_ns=SECOND, tokens=20)
+    assert play("ask", arrives_at, QUICK.tokens, slow, known_pause=2 * SECOND) == result
+
+
 def test_what_came_before_is_answered_as_before():
     """It may still be under way at the kill, and most answers are shorter than allowed."""
     assert play("once", 300 * MS, MAX_OUTPUT_TOKENS, QUICK) == "served"
