Large requests leave a part of each share of memory to the others

Change: MemoryAccount.charge() lets holders with over 64 KiB have three quarters of a share at most, for every kind; the rule in read_ahead.py goes.

--- a/claycross/frontends/read_ahead.py
+++ b/claycross/frontends/read_ahead.py
@@ -18,8 +18,6 @@
 # Once so many bytes wait in the socket, the client's FIN could remain unseen behind them.
 FLOOD_THRESHOLD_BYTES = 16_384
 MAX_KEPT_BYTES = 1 << 20  # of one connection
-# Of the share of memory; what is left is for connections with less than READ_AHEAD_BYTES.
-LARGE_BACKLOGS_PART = 0.5
 
 
 def may_read_ahead(
@@ -58,6 +56,4 @@
     kept = inbox.held_bytes() + size
     if kept > MAX_KEPT_BYTES:
         return False
-    part = 1.0 if kept <= READ_AHEAD_BYTES else LARGE_BACKLOGS_PART
-    fits = memory.fits(MemoryKind.READ_AHEAD, size, part)
-    return fits and memory.charge(MemoryKind.READ_AHEAD, inbox, kept)
+    return memory.charge(MemoryKind.READ_AHEAD, inbox, kept)
--- a/claycross/requests/memory_account.py
+++ b/claycross/requests/memory_account.py
@@ -33,6 +33,10 @@
     MemoryKind.REQUESTS: 0.3,
 }
 
+# Holders with more than LARGE_HOLDER_BYTES leave the rest of a share to the others.
+LARGE_HOLDER_BYTES = 65_536
+LARGE_HOLDERS_PART = 0.75
+
 
 class KindUsage(NamedTuple):
     """What is held of one kind, in bytes."""
@@ -58,9 +62,10 @@
         self.refusals = dict.fromkeys(MemoryKind, 0)
         self.discarded = 0  # holders whose memory was freed for others
 
-    def fits(self, kind: MemoryKind, size: int, part: float = 1.0) -> bool:
-        """Return whether `size` further bytes fit into a part of the kind's share."""
-        return self.held[kind] + size <= self.shares[kind] * part
+    def fits(self, kind: MemoryKind, growth: int, size: int = 0) -> bool:
+        """Return whether a holder that then has `size` bytes may have `growth` bytes more."""
+        part = LARGE_HOLDERS_PART if size > LARGE_HOLDER_BYTES else 1.0
+        return self.held[kind] + growth <= self.shares[kind] * part
 
     def charge(self, kind: MemoryKind, holder: object, size: int) -> bool:
         """Set what a holder has in total to `size` bytes; False: it has what it had before.
@@ -69,7 +74,7 @@
         """
         holdings = self.holdings[kind]
         growth = size - holdings.get(holder, 0)
-        if growth > 0 and not self.fits(kind, growth):
+        if growth > 0 and not self.fits(kind, growth, size):
             self.refusals[kind] += 1
             return False
         self.held[kind] += growth
