A keyed request's attempt arrives within the window of its key or never

Ruled out: a send that began after the window. The repeat began 0.8 s before its end; 74 KB of it were still in the gateway's socket when it ended.

Cause: the window was compared before the first byte only. A disconnect, a timeout and a cancellation abort an attempt until its last byte is acknowledged; the end of the window did not.

Change: requests/arrival_watch.py holds an attempt's latest arrival and ends it if its last byte is not acknowledged by then. It counts the other attempts that may have run, so that of two in flight each is bounded by the other. preconditions.window_end() computes the window, for the router as well. A finished attempt drops its calls into the connection, which kept the request's body until the client's next request.

Why it works: a request runs once its last byte has arrived, and a reset discards what has not.

--- a/claycross/requests/attempt_checks.py
+++ b/claycross/requests/attempt_checks.py
@@ -43,7 +43,7 @@
             is_read=role == i.EngineRole.READER,
             started_at=now,
             timeout=max(0, min(action.timeout or time_left, time_left)),
-            not_after=action.not_after,
+            latest_arrival=action.not_after,
             predicted_latency=action.predicted_latency,
             predicted_cached_tokens=action.predicted_cached_tokens,
             endpoint=endpoint,
@@ -90,7 +90,7 @@
             request_over=request.finished,
             client_left=request.reply.client_disconnected(),
             engine=self.directory.endpoints.get(attempt.engine),
-            not_after=attempt.not_after,
+            latest_arrival=attempt.latest_arrival,
             now=self.clock.now(),
             state_held=not attempt.needs_state or request.states.state_may_exist(),
         )
@@ -107,7 +107,19 @@
             denial = preconditions.check_rejection(spec, self.effective_attempts(request))
         return invariant(not denial, "may-refuse", f"request {request.key}: {denial}")
 
-    def effective_attempts(self, request: Request) -> list[preconditions.EarlierAttempt]:
+    def latest_arrival(self, attempt: Attempt) -> int:
+        """Return by when an attempt has to arrive, as others may have run; 0: no limit."""
+        spec = self.settings.classes.get(attempt.request.class_name)
+        if spec is None:
+            return attempt.latest_arrival
+        others = self.effective_attempts(attempt.request, excluded=attempt)
+        end = preconditions.window_end(spec, others)
+        limits = [end - self.settings.tick if end else 0, attempt.latest_arrival]
+        return min((limit for limit in limits if limit), default=0)
+
+    def effective_attempts(
+        self, request: Request, excluded: Attempt | None = None
+    ) -> list[preconditions.EarlierAttempt]:
         """Return the attempts of a request that may have run, as far as this gateway knows."""
         return [
             preconditions.EarlierAttempt(
@@ -115,6 +127,7 @@
             )
             for attempt in request.attempts
             if attempt.endpoint
+            and attempt is not excluded
             and not attempt.connecting()
             and preconditions.may_have_run(attempt.is_read, attempt.result)
         ]
--- a/claycross/requests/manager.py
+++ b/claycross/requests/manager.py
@@ -16,6 +16,7 @@
 from .. import interface as i
 from ..invariant import invariant
 from . import preconditions
+from .arrival_watch import ArrivalWatch
 from .arrivals import ArrivalControl
 from .attempt_checks import AttemptChecks
 from .endpoint_directory import EndpointDirectory
@@ -65,6 +66,7 @@
         self.endpoints = self.directory.endpoints
         self.last_response = self.directory.last_response
         self.checks = AttemptChecks(settings, clock, self.directory, self.metrics)
+        self.arrival_watch = ArrivalWatch(clock, self.checks, self.attempt_timed_out)
         self.state_releases = ReleaseCoordinator(
             settings, clock, log, self.directory, self.metrics, self.registry.find
         )
@@ -296,6 +298,7 @@
         attempt.timer = self.clock.call_later(
             attempt.timeout, partial(self.attempt_timed_out, attempt)
         )
+        self.arrival_watch.update(request)
         if attempt.is_read:
             begin = partial(self.engine_calls.start, attempt)
             self.state_releases.start_read(attempt, begin)
@@ -310,6 +313,7 @@
         """The last byte of an attempt was sent; a write gets time to arrive before a release."""
         self.metrics.attempts_sent += 1
         attempt.sent_at = self.clock.now()
+        self.arrival_watch.update(attempt.request)
         self.state_releases.attempt_sent(attempt)
 
     def stream_started(self, attempt: Attempt) -> bool:
@@ -359,7 +363,7 @@
         self.enqueue(i.RequestAbandoned(request.number))
 
     def attempt_timed_out(self, attempt: Attempt) -> None:
-        """End an attempt whose timeout has expired."""
+        """End an attempt whose timeout, or whose time to arrive, has expired."""
         if not attempt.finished:
             self._abort_attempt(attempt, i.AttemptResult.TIMEOUT)
 
@@ -431,8 +435,10 @@
             return
         attempt.finished = True
         attempt.result = result
-        if attempt.timer:
-            attempt.timer.cancel()
+        attempt.abort = attempt.has_arrived = None  # they keep the request's body
+        for timer in (attempt.timer, attempt.arrival_timer):
+            if timer:
+                timer.cancel()
         self.state_releases.attempt_finished(attempt)
         self.count(result)
         if result not in preconditions.NO_RESPONSE:
--- a/claycross/requests/preconditions.py
+++ b/claycross/requests/preconditions.py
@@ -113,6 +113,14 @@
     return not is_read and result not in NEVER_RAN
 
 
+def window_end(spec: RequestClass, earlier: Iterable[EarlierAttempt]) -> int:
+    """Return when engines stop deduplicating a request against earlier attempts; 0: no limit."""
+    first = next(iter(earlier), None)
+    if spec.effect != _WITH_IDEMPOTENCY_KEY or first is None:
+        return 0
+    return first.started_at + spec.idempotency_key_ttl
+
+
 def check_retry(
     spec: RequestClass,
     earlier: Iterable[EarlierAttempt],
@@ -129,7 +137,7 @@
         return None
     if spec.effect != _WITH_IDEMPOTENCY_KEY:
         return Denial.MAY_HAVE_RUN
-    if now + margin >= first.started_at + spec.idempotency_key_ttl:
+    if now + margin >= window_end(spec, (first,)):
         return Denial.WINDOW_OVER
     if _in_deduplication_scope(spec.deduplication_scope, first, engine):
         return None
@@ -166,7 +174,7 @@
     request_over: bool
     client_left: bool  # by the present state of its socket
     engine: EngineEndpoint | None  # its present entry in the endpoint list
-    not_after: int  # latest time at which the attempt may be sent; 0: no limit
+    latest_arrival: int  # latest time at which the attempt may arrive; 0: no limit
     now: int
     state_held: bool = True  # False: the state that the write needs has been released
 
@@ -186,7 +194,7 @@
         denial = Denial.ENGINE_DRAINING
     elif not facts.state_held:
         denial = Denial.STATE_RELEASED
-    elif facts.not_after and facts.now >= facts.not_after:
+    elif facts.latest_arrival and facts.now >= facts.latest_arrival:
         denial = Denial.WINDOW_OVER
     return denial
 
--- a/claycross/requests/records.py
+++ b/claycross/requests/records.py
@@ -75,12 +75,13 @@
     is_read: bool
     started_at: int
     timeout: int
-    not_after: int  # latest time at which it may be sent; 0: no limit
+    latest_arrival: int  # latest time at which its last byte may arrive; 0: no limit
     predicted_latency: int  # by the router, for the trace
     predicted_cached_tokens: int  # by the router, for the trace
     endpoint: i.EngineEndpoint | None  # of its engine, as listed when the attempt started
     needs_state: bool  # its engine can't read, so it needs the state of an earlier read
     timer: ScheduledCall | None = None
+    arrival_timer: ScheduledCall | None = None
     sent_at: int = 0  # when its last byte was written; 0: not yet
     finished: bool = False
     streaming: bool = False
@@ -90,6 +91,8 @@
     # Set by the engine side once the first byte is sent; aborts the attempt, and returns False if
     # it never ran.
     abort: Callable[[], bool] | None = None
+    # Set with `abort`; returns whether the engine's machine has received all of it.
+    has_arrived: Callable[[], bool] | None = None
 
     def connecting(self) -> bool:
         """Tell whether its engine can't have received any part of it yet."""
--- a/claycross/routing/attempt_start.py
+++ b/claycross/routing/attempt_start.py
@@ -5,11 +5,12 @@
 from dataclasses import dataclass
 
 from ..fleet.load_gossip import READ, WRITE
-from ..interface import Effect, EngineState, StartAttempt
+from ..interface import EngineState, StartAttempt
+from ..requests.preconditions import window_end
 from .attempt_supervision import AttemptSupervisor
 from .engine import Attempt, Engine
 from .request_state import Request, RequestStage
-from .retry_rules import attempts_that_may_have_run, may_send
+from .retry_rules import earlier_attempts, may_send
 from .shared_state import SharedState
 
 MS = 1_000_000  # ns
@@ -103,13 +104,8 @@
 
         It is 0 if the request has no idempotency key or no earlier attempt may have run.
         """
-        if request.request_class.effect != Effect.WITH_IDEMPOTENCY_KEY:
-            return 0
-        earlier = attempts_that_may_have_run(request)
-        if not earlier:
-            return 0
-        expires_at = earlier[0].sent_at + request.request_class.idempotency_key_ttl
-        return expires_at - self.settings.tick
+        expires_at = window_end(request.request_class, earlier_attempts(request))
+        return expires_at - self.settings.tick if expires_at else 0
 
     def _record(self, request: Request, attempt: Attempt, now: int) -> None:
         """Add a new attempt to its request, to its engine's load and to the gossip."""
--- a/claycross/upstream/http1.py
+++ b/claycross/upstream/http1.py
@@ -78,7 +78,11 @@
             connection.abort()  # bytes that the engine has not received must not arrive later
             return True
 
+        def has_arrived() -> bool:
+            return reader.is_sent and not connection.unacknowledged_bytes()
+
         attempt.abort = abort
+        attempt.has_arrived = has_arrived
         try:
             connection.send(self.encode(attempt, endpoint, reader.outgoing))
         except ConnectionClosedError:
--- a/claycross/upstream/http2.py
+++ b/claycross/upstream/http2.py
@@ -146,6 +146,7 @@
         request = StreamRequest(outgoing.method, outgoing.target, headers, outgoing.body, may_send)
         stream = Stream(peer, request)
         attempt.abort = stream.cancel
+        attempt.has_arrived = stream.is_sent
         peer.start(stream, is_call=False, max_wait=self.limits.request_wait)
         try:
             return self.read_response(stream, reader)
--- a/claycross/upstream/http2_stream.py
+++ b/claycross/upstream/http2_stream.py
@@ -149,6 +149,10 @@
             self.connection.session.acknowledge_data(self.stream_id, counted)
             self.connection.flush()
 
+    def is_sent(self) -> bool:
+        """Return whether the system has taken the request's last byte, or the stream is over."""
+        return self.record.stage in (StreamStage.END_SENT, StreamStage.FINISHED)
+
     def cancel(self) -> bool:
         """End the stream, by RST_STREAM if it was started; return whether it may have run."""
         record = self.record
