Responses that engines do not finish are charged to the account of memory

Ruled out: heads and chunks without an end; what is kept of them is at most 16 KiB for each response.

Cause: an incomplete event, and the body of an answer that is not streamed, were bounded for each response and not for all of them.

Change: a kind for responses with a fifth of what the process leaves. ResponseReader charges what is not forwarded yet; with no room the largest response ends as if its connection had broken. A whole answer of embeddings is charged until it is sent.

--- a/claycross/frontends/base.py
+++ b/claycross/frontends/base.py
@@ -359,6 +359,9 @@
         except ConnectionClosedError:
             connection.close()
             self.manager.client_disconnected(accepted.request)
+        finally:
+            exchange.pending_response = b""
+            self.memory.give_back(MemoryKind.RESPONSES, exchange)
 
     def read_ahead(self, connection: Connection, inbox: Inbox, request: Request) -> None:
         """Read bytes that follow the request under way, or only wait if none may be read."""
--- a/claycross/frontends/embeddings.py
+++ b/claycross/frontends/embeddings.py
@@ -13,7 +13,7 @@
 from ..net.http1 import Head, encode_response
 from ..net.loop import MS, SECOND, Connection, EventLoop
 from ..requests.manager import RequestManager
-from ..requests.memory_account import MemoryAccount
+from ..requests.memory_account import MemoryAccount, MemoryKind
 from ..upstream.interface import UNFORWARDED_HEADERS, OutgoingRequest
 from .base import ClientLimits, Frontend
 from .embeddings_api import ApiRequest, parse_body, read_embeddings, read_rerank
@@ -44,16 +44,19 @@
 
     def __init__(self, frontend: ExchangeOwner, connection: Connection, close: bool, deadline: int):
         super().__init__(frontend, connection, close)
+        self.memory = frontend.memory
         self.deadline = deadline
 
     def write(self, data: bytes) -> None:
         """Store the complete response, to be sent on finish()."""
+        if not self.memory.charge(MemoryKind.RESPONSES, self, len(data)):
+            return
         headers = [("Content-Type", "application/json")]
         self.pending_response = encode_response(200, headers, data, self.decide_closing())
 
     def finish(self, complete: bool) -> None:
         """Send the response, or an error if it is not complete."""
-        if complete:
+        if complete and self.pending_response:
             self.close_exchange()
         else:
             self.fail()
--- a/claycross/frontends/exchange.py
+++ b/claycross/frontends/exchange.py
@@ -9,6 +9,7 @@
 from ..net.http1 import LAST_CHUNK, Head, encode_chunk, encode_response
 from ..net.loop import SECOND, Connection, ConnectionClosedError, EventLoop
 from ..requests.manager import Request
+from ..requests.memory_account import MemoryAccount
 from .errors import ErrorContent, Headers
 from .inbox import Inbox
 
@@ -39,6 +40,7 @@
     """The interface through which an exchange uses its frontend."""
 
     loop: EventLoop
+    memory: MemoryAccount
 
     def format_error(self, status: int, message: str, **details: str) -> ErrorContent:
         """Return the headers and the body of an error response."""
--- a/claycross/gateway/gateway.py
+++ b/claycross/gateway/gateway.py
@@ -115,6 +115,7 @@
         """Add the request manager and engine connections of a service."""
         manager = RequestManager(settings, self.config.seed, self.loop, self.log, name)
         manager.arrivals.list_freshness = self.parts.list_freshness
+        manager.memory = self.parts.memory
         pool = ConnectionPool(
             self.loop, connections, settings.connection_idle_timeout // 2, settings.connect_timeout
         )
--- a/claycross/requests/manager.py
+++ b/claycross/requests/manager.py
@@ -21,6 +21,7 @@
 from .attempt_checks import AttemptChecks
 from .endpoint_directory import EndpointDirectory
 from .engine_protocol import EngineCalls
+from .memory_account import UNLIMITED_BYTES, MemoryAccount
 from .protocols import Clock, Reply
 from .records import Attempt, Request, RequestEnd
 from .release_coordinator import ReleaseCoordinator, ReleaseGauges
@@ -62,6 +63,7 @@
         self.metrics = RequestMetrics(settings.classes, clock, log)
         self.counts = self.metrics.counts
         self.reply_counts = self.metrics.reply_counts
+        self.memory = MemoryAccount(UNLIMITED_BYTES)  # replaced by that of the process
         self.directory = EndpointDirectory(generator)
         self.endpoints = self.directory.endpoints
         self.last_response = self.directory.last_response
--- a/claycross/requests/memory_account.py
+++ b/claycross/requests/memory_account.py
@@ -1,4 +1,4 @@
-"""The account of the memory that requests of all clients hold, by kind.
+"""The account of the memory that requests of all clients and their responses hold, by kind.
 
 Each kind has a share of the process's limit. A holder is charged for what it keeps before it keeps
 more, and gives it back in one call. The module does no I/O and reads no clock.
@@ -14,6 +14,7 @@
 MEGABYTE = 1_000_000  # bytes
 # What the process needs for itself: the interpreter, the program, the endpoint list, connections.
 PROCESS_BYTES = 40 * MEGABYTE
+UNLIMITED_BYTES = 1 << 62
 MIN_BUDGET_PART = 0.25  # of the limit, where the process itself would leave less
 
 
@@ -23,6 +24,7 @@
     UNFINISHED = "unfinished"  # requests that have arrived in part
     READ_AHEAD = "read_ahead"  # what clients sent behind a request that is under way
     REQUESTS = "requests"  # complete requests until they are over
+    RESPONSES = "responses"  # what engines sent and was not forwarded yet
 
 
 # Of the budget for clients. The rest is for copies on their way, for answers, and for what the
@@ -31,6 +33,7 @@
     MemoryKind.UNFINISHED: 0.2,
     MemoryKind.READ_AHEAD: 0.1,
     MemoryKind.REQUESTS: 0.3,
+    MemoryKind.RESPONSES: 0.2,
 }
 
 # Holders with more than LARGE_HOLDER_BYTES leave the rest of a share to the others.
--- a/claycross/upstream/engine_calls.py
+++ b/claycross/upstream/engine_calls.py
@@ -129,10 +129,13 @@
         if endpoint is None:
             return NOT_SENT
         client = self.client(endpoint)
+        reader = ResponseReader(self.manager, attempt)
         try:
-            return client.attempt(attempt, endpoint, ResponseReader(self.manager, attempt))
+            return client.attempt(attempt, endpoint, reader)
         except ProtocolNotSupportedError:
-            return self.http1.attempt(attempt, endpoint, ResponseReader(self.manager, attempt))
+            return self.http1.attempt(attempt, endpoint, reader)
+        finally:
+            reader.release()
 
     # ------------------------------------------------------------ calls without a client's request
 
--- a/claycross/upstream/http1.py
+++ b/claycross/upstream/http1.py
@@ -130,17 +130,25 @@
             except TimeoutExpired:
                 message = "timeout within a head or chunk" if partial else "idle timeout"
                 raise MalformedMessageError(502, message) from None
-            for part in parser.feed(data) if data else parser.eof():
-                if isinstance(part, Head):
-                    reader.head(part.status, part.headers)
-                elif isinstance(part, Body):
-                    reader.data(part.data)
-                elif data or reader.status != OK_STATUS:
-                    # A successful response that ends by closing the connection is not taken for
-                    # complete: the engine may have died.
-                    return reader.end()
+            is_complete = self.take_parts(parser.feed(data) if data else parser.eof(), reader)
+            # A successful response that ends by closing the connection is not taken for complete:
+            # the engine may have died.
+            if is_complete and (data or reader.status != OK_STATUS):
+                return reader.end()
             if not data:
                 raise ConnectionClosedError("connection closed before the end of the response")
+            del data  # not to be held while more is awaited
+
+    def take_parts(self, parts: list[Head | Body | End], reader: ResponseReader) -> bool:
+        """Pass parts of a response to the reader; return whether the response is complete."""
+        for part in parts:
+            if isinstance(part, Head):
+                reader.head(part.status, part.headers)
+            elif isinstance(part, Body):
+                reader.data(part.data)
+            else:
+                return True
+        return False
 
     def call(
         self,
--- a/claycross/upstream/responses.py
+++ b/claycross/upstream/responses.py
@@ -16,6 +16,7 @@
 from ..net.http1 import MalformedMessageError
 from ..net.loop import MS, ConnectionClosedError
 from ..requests.manager import Attempt, RequestManager
+from ..requests.memory_account import MemoryKind
 from .interface import AttemptEnd, OutgoingRequest
 
 # For the rest of a response head or chunk that has begun: engines write each as a whole.
@@ -50,6 +51,7 @@
         self.events = EventStreamParser()
         self.usage_events = b""  # the last events that report usage or load
         self.is_sent = False
+        self.is_charged = False
 
     def request_sent(self) -> None:
         """Note that the whole request was sent: from now on the attempt counts."""
@@ -71,7 +73,12 @@
         """
         if self.is_stream():
             self.stream_data(data)
-            return
+        else:
+            self.body_data(data)
+        self.charge()
+
+    def body_data(self, data: bytes) -> None:
+        """Add a part of a body that is not an event stream."""
         self.body += data
         limit = self.outgoing.max_response_bytes
         if self.outgoing.streams:
@@ -79,6 +86,32 @@
         if len(self.body) > limit:
             raise MalformedMessageError(502, f"response body larger than {limit} bytes")
 
+    def charge(self) -> None:
+        """Charge the account for what is not forwarded yet.
+
+        Raises:
+            ConnectionClosedError: If there is no memory for it.
+        """
+        size = len(self.body) + len(self.events.buffer)
+        if not size and not self.is_charged:
+            return
+        self.is_charged = True
+        if not self.manager.memory.charge_by_discarding(MemoryKind.RESPONSES, self, size):
+            self.manager.count("ended-for-memory")
+            raise ConnectionClosedError("no memory for the response")
+
+    def discard(self) -> None:
+        """Free what has arrived; the attempt then ends as if its connection had broken."""
+        self.manager.count("ended-for-memory")
+        self.body = b""
+        self.events = EventStreamParser()
+        if self.attempt.abort:
+            self.attempt.abort()
+
+    def release(self) -> None:
+        """Give back what was charged; the attempt is over."""
+        self.manager.memory.give_back(MemoryKind.RESPONSES, self)
+
     def is_stream(self) -> bool:
         """Return whether the response is an event stream for the client."""
         return self.status == OK_STATUS and self.outgoing.streams
--- a/tests/frontends/test_memory.py
+++ b/tests/frontends/test_memory.py
@@ -106,6 +106,45 @@
     eventually(lambda: 'gateway_memory_held_bytes{kind="unfinished"} 0.0' in gateway.call("vars"))
 
 
+class EndlessEvents(Engine):
+    """Sends the start of a large event for each stream, and nothing more."""
+
+    def __init__(self):
+        super().__init__("d", plan=EndlessEvents.answer)
+        self.closing = threading.Event()
+
+    def answer(self, message, wire):
+        wire.begin()
+        wire.event(b"data: " + b"x" * 250_000)
+        self.closing.wait(10)
+
+
+def test_memory_stays_under_its_limit_beside_an_engine_whose_events_do_not_end(site):
+    """Guards against the class of review case 7 on the engines' side."""
+    writer = EndlessEvents()
+    ample = {"kv-tokens": [10**9, 10**9]}
+    gateway = site(Engine("p"), writer, release=True, more=LIMITS, family=ample)
+    over = threading.Event()
+    data = [
+        request(f"waits-{n}", cls="browse").replace(b"prompt_len=800", b"prompt_len=10")
+        for n in range(300)
+    ]
+    clients = [
+        threading.Thread(target=send_until, args=(over, gateway, d), daemon=True) for d in data
+    ]
+    try:
+        for thread in clients:
+            thread.start()
+        peak, end = 0.0, time.monotonic() + 5.0
+        while time.monotonic() < end:
+            peak = max(peak, anonymous_mb(gateway.process.pid))
+            time.sleep(0.01)
+    finally:
+        over.set()
+        writer.closing.set()
+    assert len(writer.asked) >= len(clients) and peak < MEMORY_MB
+
+
 class Peer:
     """A connection on which bytes are there at each read, and time passes with it."""
 
