--- a/claycross/frontends/base.py
+++ b/claycross/frontends/base.py
@@ -385,10 +385,12 @@
         since = self.loop.now()
         unkept = PartialRequest(connection, inbox, since)
         while True:
-            self.send_rejections(connection, inbox.take_dropped())
+            count = inbox.take_dropped()
+            is_over = not inbox.malformed() and inbox.stop_dropping()
+            self.send_rejections(connection, count, closes=is_over and self.draining)
             if inbox.malformed():
                 raise MalformedMessageError(400, "no request")
-            if inbox.stop_dropping():
+            if is_over:
                 return not self.draining
             try:
                 data = self.reader.receive(unkept, since, idle=False)
@@ -398,15 +400,20 @@
                 return False
             inbox.feed_dropped(data)
 
-    def send_rejections(self, connection: Connection, count: int) -> None:
-        """Send `count` responses that each reject a request of which nothing was kept."""
+    def send_rejections(self, connection: Connection, count: int, closes: bool) -> None:
+        """Send `count` responses that each reject a request of which nothing was kept.
+
+        `closes`: the last one announces that the connection closes.
+        """
         headers, body = self.format_error(503, "refused: it may be sent again", **self.overloaded)
-        response = encode_response(503, [*headers, ("Retry-After", "0")], body)
+        headers.append(("Retry-After", "0"))
+        self.manager.count("rejected-read-ahead", count)
         while count > 0:
             batch_size = min(count, REJECTION_BATCH_SIZE)
-            connection.send(response * batch_size, ERROR_SEND_TIMEOUT_NS)
-            self.manager.count("rejected-read-ahead", batch_size)
             count -= batch_size
+            last = [encode_response(503, headers, body, close=closes and not count)]
+            others = [encode_response(503, headers, body)] * (batch_size - 1)
+            connection.send(b"".join(others + last), ERROR_SEND_TIMEOUT_NS)
             self.loop.end_turn_if_due()
 
     def accept(
--- a/tests/frontends/test_client_end.py
+++ b/tests/frontends/test_client_end.py
@@ -1,11 +1,12 @@
 """A client's FIN is noticed although bytes that it sent before have not been read."""
 
+import json
 import signal
 import threading
 
 import pytest
 
-from standins.servers import Engine, eventually, passes
+from standins.servers import Client, Engine, eventually, passes
 from tests.frontends.test_pipelining import request
 
 MIB_BYTES = 1 << 20
@@ -168,3 +169,48 @@
     assert statuses == [200] * kept + [503] * (count + 1 - kept) and kept > 1
     ran = {message["X-Request-ID"] for message in reader.asked}
     assert ran == {"first", "after"} | {f"later-{n}" for n in range(kept - 1)}
+
+
+def test_no_further_attempt_at_embeddings_begins_for_a_client_that_left_behind_a_backlog(site):
+    """The same as for chat; a further attempt would follow the failure of the first."""
+    go_on = threading.Event()
+
+    def fail(engine, message, wire):
+        go_on.wait(8)
+        wire.reply(500)
+
+    engines = [Engine("embed", plan=fail) for _ in range(2)]
+    gateway = site(Engine("p"), Engine("d"), *engines, embeddings={}, release=True)
+    body = json.dumps({"model": "m", "input": ["text"]}).encode()
+    head = f"POST /v1/embeddings HTTP/1.1\r\nHost: o\r\nContent-Length: {len(body)}\r\n\r\n"
+    client = Client(gateway.embeddings_address)
+    client.sock.sendall(head.encode() + body)
+    eventually(lambda: engines[0].asked or engines[1].asked)
+    client.sock.sendall((head.encode() + body) * 8000)
+    client.__exit__()
+    passes(0.4)
+    go_on.set()
+    passes(0.5)
+    assert sum(len(engine.asked) for engine in engines) == 1
+
+
+def test_the_last_rejection_of_a_backlog_announces_the_end_of_a_stopping_gateway(site):
+    reader, writer = DelayedReader(), Engine("d")
+    gateway = site(reader, writer, release=True)
+    count = 16
+    with gateway.client() as client:
+        client.sock.sendall(request("first"))
+        eventually(lambda: reader.asked)
+        gateway.process.send_signal(signal.SIGTERM)
+        eventually(lambda: " stopping " in gateway.log())
+        sending = threading.Thread(
+            target=client.sock.sendall, args=(requests_of(count, 200_000),), daemon=True
+        )
+        sending.start()
+        passes(0.3)
+        reader.go_on.set()
+        answers = [client.answer() for _ in range(count + 1)]
+        sending.join()
+        assert {answer.status for answer in answers} == {200, 503}
+        assert [answer["connection"] for answer in answers] == [None] * count + ["close"]
+        assert client.to_end() == b""
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -1,6 +1,7 @@
 """The times of a stop lie in order before the kill, and nothing late is under way at it."""
 
 import contextlib
+import json
 import signal
 import threading
 import time
@@ -14,7 +15,7 @@
     MAX_COUNTED_DEADLINE_NS,
     ShutdownSchedule,
 )
-from standins.servers import EVENTS, Engine, chat, eventually
+from standins.servers import EVENTS, Client, Engine, chat, eventually
 from tests.routing.router_harness import MS, SECOND
 
 KILL_S = 3.7  # after SIGTERM, for these deadlines
@@ -89,3 +90,30 @@
         assert max(ended_at) < KILL_S and took < KILL_S
     finally:
         writer.closing.set()
+
+
+def test_an_embeddings_request_that_came_late_is_answered_beside_an_engine_that_hangs(site):
+    """A response that is not streamed ends by its deadline, which lies before the kill."""
+    closing = threading.Event()
+
+    def hang(engine, message, wire):
+        wire.sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{")
+        closing.wait(10)
+
+    engine = Engine("embed", plan=hang)
+    gateway = site(Engine("p"), Engine("d"), engine, embeddings={}, release=True)
+    with Client(gateway.embeddings_address) as client:
+        terminated_at = time.monotonic()
+        gateway.process.send_signal(signal.SIGTERM)
+        time.sleep(0.9)
+        body = json.dumps({"model": "m", "input": ["text"]}).encode()
+        client.send("POST", "/v1/embeddings", body)
+        try:
+            status = client.answer().status
+            took = time.monotonic() - terminated_at
+            eventually(lambda: gateway.process.poll() is not None, within=8)
+            ended_after = time.monotonic() - terminated_at
+        finally:
+            closing.set()
+    assert engine.asked and status in (502, 503, 504)
+    assert took < KILL_S and ended_after < KILL_S
