A large body is sent from where it is kept, without a copy for each attempt

Seen: a request was charged twice its body, for the copy that is joined with the head for each attempt, so that with memory_mb 192 only 65 requests of 250 KB could be open at once.

Change: the head is joined with the first 16 KiB of the body, the rest is sent from where it is kept. OutgoingRequest.held_bytes() counts that.

--- a/claycross/net/connection.py
+++ b/claycross/net/connection.py
@@ -283,7 +283,7 @@
         elif duration < TURN_BUDGET_NS // READ_GROWTH_SHARE:
             self.read_bytes = min(MAX_READ_BYTES, self.read_bytes * 2)
 
-    def send(self, data: bytes, timeout: int = 0) -> None:
+    def send(self, data: bytes | memoryview, timeout: int = 0) -> None:
         """Send all of the data.
 
         Args:
--- a/claycross/net/http1.py
+++ b/claycross/net/http1.py
@@ -11,7 +11,14 @@
 from enum import StrEnum
 
 from .chunked_body import ChunkedBodyParser
-from .http1_encoding import HEAD_END, LAST_CHUNK, encode_chunk, encode_request, encode_response
+from .http1_encoding import (
+    HEAD_END,
+    LAST_CHUNK,
+    encode_chunk,
+    encode_request,
+    encode_request_head,
+    encode_response,
+)
 from .http1_limits import LINE_END, MAX_BODY, MAX_HEAD, MalformedMessageError
 
 __all__ = [
@@ -29,6 +36,7 @@
     "PipelineValidator",
     "encode_chunk",
     "encode_request",
+    "encode_request_head",
     "encode_response",
 ]
 
--- a/claycross/net/http1_encoding.py
+++ b/claycross/net/http1_encoding.py
@@ -32,10 +32,17 @@
     method: str, target: str, headers: list[tuple[str, str]], body: bytes = b""
 ) -> bytes:
     """Return the request as bytes."""
+    return encode_request_head(method, target, headers, len(body)) + body
+
+
+def encode_request_head(
+    method: str, target: str, headers: list[tuple[str, str]], body_size: int
+) -> bytes:
+    """Return the head of a request whose body has `body_size` bytes."""
     lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in headers)]
-    if body or method in ("POST", "PUT"):
-        lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join(lines).encode("latin-1") + HEAD_END + body
+    if body_size or method in ("POST", "PUT"):
+        lines.append(f"Content-Length: {body_size}")
+    return "\r\n".join(lines).encode("latin-1") + HEAD_END
 
 
 def encode_response(
--- a/claycross/upstream/http1.py
+++ b/claycross/upstream/http1.py
@@ -15,6 +15,7 @@
     MessageParser,
     MessageState,
     encode_request,
+    encode_request_head,
 )
 from ..net.loop import (
     MS,
@@ -28,6 +29,7 @@
 from .connection_pool import REUSE_DELAY_NS, ConnectionPool
 from .interface import (
     CONNECT_FAILED,
+    JOINED_BODY_BYTES,
     NOT_SENT,
     RESET,
     AttemptEnd,
@@ -84,19 +86,22 @@
         attempt.abort = abort
         attempt.has_arrived = has_arrived
         try:
-            connection.send(self.encode(attempt, endpoint, reader.outgoing))
+            head = self.encode_head(attempt, endpoint, reader.outgoing)
+            body = memoryview(reader.outgoing.body)
+            connection.send(head + body[:JOINED_BODY_BYTES])
+            connection.send(body[JOINED_BODY_BYTES:])
         except ConnectionClosedError:
             self.pool.drop(connection)
             return CONNECT_FAILED
         reader.request_sent()
         return self.receive(connection, endpoint, reader)
 
-    def encode(self, attempt: Attempt, endpoint: Endpoint, outgoing: OutgoingRequest) -> bytes:
-        """Return the bytes of an attempt's request, with its remaining time as a header."""
+    def encode_head(self, attempt: Attempt, endpoint: Endpoint, outgoing: OutgoingRequest) -> bytes:
+        """Return the head of an attempt's request, with its remaining time as a header."""
         time_left = attempt.timeout - (self.loop.now() - attempt.started_at)
         timeout = ("X-Timeout-Ms", str(max(1, time_left // MS)))
         headers = [("Host", str(endpoint)), *outgoing.headers, timeout]
-        return encode_request(outgoing.method, outgoing.target, headers, outgoing.body)
+        return encode_request_head(outgoing.method, outgoing.target, headers, len(outgoing.body))
 
     def receive(
         self, connection: Connection, endpoint: Endpoint, reader: ResponseReader
--- a/claycross/upstream/interface.py
+++ b/claycross/upstream/interface.py
@@ -33,7 +33,8 @@
 
 REQUEST_BYTES = 8192  # the records of a request and of its attempts, and its connection's task
 HEADER_BYTES = 170  # the objects of one header field, beside its text
-COPIES = 2  # of a request: as it is kept, and as it is being sent
+# Of a body that are copied to be sent in one piece with the head; the rest is sent as it is.
+JOINED_BODY_BYTES = 16_384
 
 
 @dataclass(slots=True)
@@ -53,7 +54,9 @@
     def held_bytes(self) -> int:
         """Return how much memory is held for it, with one attempt that is being sent."""
         fields = sum(len(name) + len(value) + HEADER_BYTES for name, value in self.headers)
-        return REQUEST_BYTES + COPIES * (len(self.body) + fields)
+        encoded_head = sum(len(name) + len(value) for name, value in self.headers)
+        joined = min(len(self.body), JOINED_BODY_BYTES)
+        return REQUEST_BYTES + len(self.body) + fields + encoded_head + joined
 
 
 class AttemptEnd(NamedTuple):
