The soak has clients with unfinished requests and a rule on memory

A figure of a process's memory is read in one place.

Measured: tests/emulator/test_soak_test.py, 40 passed, two at a time; with an account that finds room for everything the rule is broken, and it holds without.

--- a/claycross/emulator/demo.py
+++ b/claycross/emulator/demo.py
@@ -157,11 +157,20 @@
             user_and_system_ticks = (
                 proc.joinpath("stat").read_text().rsplit(")", 1)[1].split()[11:13]
             )
-            memory = re.search(r"VmRSS:\s+(\d+)", proc.joinpath("status").read_text())
             cpu_s = sum(map(int, user_and_system_ticks)) / os.sysconf("SC_CLK_TCK")
         except (OSError, IndexError):
             return None
-        return (cpu_s, int(memory[1]) / 1024) if memory else None
+        memory_kb = self.memory_kb("VmRSS")
+        return (cpu_s, memory_kb / 1024) if memory_kb else None
+
+    def memory_kb(self, figure: str) -> int:
+        """Return a figure of the process's memory by its name in the system's status; 0: none."""
+        try:
+            status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0
+        found = re.search(rf"^{figure}:\s+(\d+) kB", status, re.MULTILINE)
+        return int(found[1]) if found else 0
 
     def end(self) -> None:
         """Terminate the process, or kill it after STOP_TIMEOUT_S."""
--- a/claycross/emulator/fault_plan.py
+++ b/claycross/emulator/fault_plan.py
@@ -17,7 +17,7 @@
     3.0,
 )  # seconds; the last one so long before the load's end
 PAIRED_STORM = 3.2  # seconds; the storm that each run has
-FLOOD_AT = 0.3  # seconds; it ends before the first storm
+FLOOD_AT = 0.3  # seconds; it and the unfinished requests end before the first storm
 OVERLAP = 0.8  # seconds within which the troubles of a storm begin
 MOST_OUT = 3  # engines drained, killed or replaced in a run, of a role at most
 SERIES = 4  # of signals, by number
@@ -54,6 +54,7 @@
     # connections reset.
     RESPONSE_LOST = "response-lost"
     FLOOD = "flood"  # a client sends requests without a pause and reads all answers
+    UNFINISHED = "unfinished"  # clients send large requests without their last bytes
 
 
 # Troubles at gateways: each storm has them at different ones.
@@ -72,7 +73,7 @@
     FaultKind.DRAIN_GATEWAY,
 )
 # Kinds that each run has once, drawn apart from the others.
-FIXED_KINDS = (FaultKind.RESPONSE_LOST, FaultKind.FLOOD)
+FIXED_KINDS = (FaultKind.RESPONSE_LOST, FaultKind.FLOOD, FaultKind.UNFINISHED)
 RANDOM_KINDS = [kind for kind in FaultKind if kind not in FIXED_KINDS]
 ENGINES = (
     FaultKind.ENGINE_DRAIN,
@@ -95,6 +96,7 @@
     FaultKind.RESET: (0.2, 1.0),
     FaultKind.RESPONSE_LOST: (0.3, 1.5),
     FaultKind.FLOOD: (0.6, 1.1),
+    FaultKind.UNFINISHED: (0.8, 1.1),
     FaultKind.KILL: (0.05, 0.6),
 }
 
@@ -131,7 +133,10 @@
     """All troubles of a run, in time. `engines`: names such as "prefill-3"."""
     rng, spent = random.Random(f"troubles {seed}"), dict[str, set[str]]()
     troubles = paired_storm(random.Random(f"paired storm {seed}"), engines, zones)
-    troubles.append(draw_flood(random.Random(f"flood {seed}"), gateways))
+    flood = draw_flood(random.Random(f"flood {seed}"), gateways)
+    troubles.append(flood)
+    others = [n for n in range(gateways) if n not in flood.gateways]
+    troubles.append(draw_unfinished(random.Random(f"unfinished {seed}"), others))
     at = FIRST_STORM
     while at < seconds - LAST_STORM:
         free = list(range(gateways))
@@ -194,6 +199,12 @@
     return PlannedFault(FLOOD_AT, FaultKind.FLOOD, span, (rng.randrange(gateways),))
 
 
+def draw_unfinished(rng: random.Random, gateways: list[int]) -> PlannedFault:
+    """Draw clients that do not finish their requests, at one of the gateways."""
+    span = round(rng.uniform(*SPANS[FaultKind.UNFINISHED]), 2)
+    return PlannedFault(FLOOD_AT, FaultKind.UNFINISHED, span, (rng.choice(gateways),))
+
+
 def pick_engine(rng: random.Random, engines: list[str], spent: dict[str, set[str]]) -> str:
     """One that no trouble had before; none once a role has had MOST_OUT."""
     fit = [
--- a/claycross/emulator/invariant_checkers.py
+++ b/claycross/emulator/invariant_checkers.py
@@ -98,6 +98,15 @@
     closed: float = 0.0  # when its answer or the end of its connection had come
 
 
+@dataclass(slots=True)
+class MemoryPeak:
+    """The most memory that the processes of one gateway had, without their files."""
+
+    gateway: int
+    used_mb: float
+    limit_mb: float
+
+
 @dataclass(slots=True)
 class RunRecord:
     """All that a soak saw."""
@@ -122,6 +131,7 @@
     reserved_states: list[ReservedState] = field(default_factory=list)
     misbehaving_clients: list[MisbehavingClient] = field(default_factory=list)
     readiness_checks: list[ReadinessCheck] = field(default_factory=list)
+    memory_peaks: list[MemoryPeak] = field(default_factory=list)
     states_left: list[str] = field(
         default_factory=list
     )  # requests whose state was left at an engine at the end
@@ -344,6 +354,15 @@
     ]
 
 
+def memory_under_limit(record: RunRecord) -> list[str]:
+    """No gateway has more memory than its limit, whatever its clients send."""
+    return [
+        f"g{peak.gateway} {peak.used_mb:.0f} of {peak.limit_mb:.0f} MB"
+        for peak in record.memory_peaks
+        if peak.used_mb > peak.limit_mb
+    ]
+
+
 def nothing_read_is_dropped(record: RunRecord) -> list[str]:
     """A request whose connection ended between two requests is sent once more; it was not read, so
     that it reached no engine, but where its gateway was killed.
@@ -383,6 +402,7 @@
     "events are passed on at once": events_forwarded_in_time,
     "bad clients are ended in time": misbehaving_clients_closed,
     "a client that floods delays no other": answers_beside_flood,
+    "memory stays under its limit": memory_under_limit,
     "no request that was read is dropped": nothing_read_is_dropped,
     "no engine falls in slow start": no_engine_overloaded,
     "processes live": processes_live,
@@ -433,6 +453,7 @@
         "events are passed on at once": sum(a.how == "served" for a in answered),
         "bad clients are ended in time": sum(not b.excused for b in record.misbehaving_clients),
         "a client that floods delays no other": len(record.readiness_checks),
+        "memory stays under its limit": len(record.memory_peaks),
         "no request that was read is dropped": sum(
             a.how == "crossed" for a in record.client_requests
         ),
--- a/claycross/emulator/soak_test.py
+++ b/claycross/emulator/soak_test.py
@@ -35,6 +35,7 @@
 from .invariant_checkers import (
     ClientRequest,
     EngineAttempt,
+    MemoryPeak,
     MisbehavingClient,
     ReservedState,
     RunRecord,
@@ -43,6 +44,7 @@
 )
 from .soak_report import RunSummary, report
 from .system_faults import Field, SystemFaults
+from .unfinished_clients import send_unfinished
 
 # Seconds before and after a gateway's death in which its requests are excused.
 EXCUSED_AROUND = 0.05
@@ -67,6 +69,9 @@
 SHORT_DEADLINE = 1.2  # seconds
 LARGE_ENGINES, LARGE_GATEWAYS = 2000, 2
 READY_WITHIN = 10.0
+SOCKETS = 1024  # descriptors of each gateway
+KB, MB = 1024, 1_000_000  # bytes: of the system's figures, of the gateways' settings
+MEMORY_LIMIT_MB = 96  # of each gateway
 PACE_EVERY = 0.05  # seconds between looks how late the soak itself is
 QUIET = 1.5  # seconds without load, until what is held is looked at
 FRONT_NOTICES = 0.35  # seconds until clients send nothing more to a gateway that is not there
@@ -101,6 +106,7 @@
         super().__init__(folder, file, not cooperation, cooperation)
         self.shims = [SystemFaults(folder, f"g{n}") for n in range(file.gateways)]
         self.doors: list[str] = []
+        self.listens: list[int] = []  # the gateways' own ports, without a shim's proxy before them
         # Of each gateway: two ways to the one discovery.
         self.discoveries: list[tuple[str, str]] = []
         self.deadline = 0.0  # of all classes; 0: the usual ones
@@ -124,7 +130,9 @@
         other = self.net.do(lambda: self.net.tcp(party, frozenset(("discovery",)), port, lists))
         self.discoveries.append((str(config["discovery"]), f"127.0.0.1:{other}"))
         self.doors.append(f"127.0.0.1:{spare.port(socket.SOCK_STREAM)}")
-        return config | {"admin": self.doors[n]}
+        self.listens.append(int(str(config["listen"]).rpartition(":")[2]))
+        limits = {"sockets": SOCKETS, "memory_mb": MEMORY_LIMIT_MB}
+        return config | {"admin": self.doors[n], "limits": limits}
 
     def reload(self, n: int) -> None:
         """The other address of discovery, and SIGHUP."""
@@ -161,6 +169,7 @@
         self.excused: list[tuple[int, float, float]] = []  # gateway, from, to
         self.troubles: list[PlannedFault] = []
         self.bans: dict[int, str] = {}
+        self.memory_peaks: dict[int, float] = {}  # by gateway, in MB
         self.zero, self.ended = 0.0, False
         self.injectors: dict[FaultKind, Callable[[PlannedFault, int], None]] = {
             FaultKind.KILL: self.kill,
@@ -176,6 +185,7 @@
             FaultKind.BAN: self.ban,
             FaultKind.DRAIN_GATEWAY: self.drain_gateway,
             FaultKind.FLOOD: self.flood,
+            FaultKind.UNFINISHED: self.unfinished,
         }
 
     # ------------------------------------------------------------ troubles
@@ -317,6 +327,10 @@
     def flood(self, t: PlannedFault, n: int) -> None:
         self.record.readiness_checks += flood(n, self.fleet.fronts[n], t.span)
 
+    def unfinished(self, t: PlannedFault, n: int) -> None:
+        """Clients that do not finish their requests, on connections of their own."""
+        send_unfinished(self.fleet.listens[n], t.span)
+
     def end(self, n: int) -> None:
         part = self.fleet.gateways[n]
         try:
@@ -541,8 +555,15 @@
             with suppress(OSError):
                 self.fleet.ask(f"127.0.0.1:{relay}", "GET", "/pace")
             self.record.lags.append((begin, time.monotonic() - begin))
+            self.measure_memory()
             time.sleep(PACE_EVERY)
 
+    def measure_memory(self) -> None:
+        """Keep the greatest memory of each gateway so far."""
+        for n, part in enumerate(self.fleet.gateways):
+            used_mb = part.memory_kb("RssAnon") * KB / MB
+            self.memory_peaks[n] = max(self.memory_peaks.get(n, 0.0), used_mb)
+
     def audit(self) -> None:
         """The engines' side of the record, in the machine's clock, and what is excused."""
         for asked in self.record.client_requests:
@@ -574,6 +595,9 @@
             for key, engine, since, until in found["held"]
         ]
         self.record.drains = {engine: zero + at for engine, at in found["drains"].items()}
+        self.record.memory_peaks = [
+            MemoryPeak(n, used_mb, MEMORY_LIMIT_MB) for n, used_mb in self.memory_peaks.items()
+        ]
         self.record.states_left, self.record.fell = found["states"], found["fell"]
         self.ended = True
 
--- a/tests/emulator/test_soak_test.py
+++ b/tests/emulator/test_soak_test.py
@@ -12,6 +12,7 @@
     CHECKERS,
     ClientRequest,
     EngineAttempt,
+    MemoryPeak,
     MisbehavingClient,
     ReadinessCheck,
     ReservedState,
@@ -79,6 +80,7 @@
             MisbehavingClient(1, 10.0, 14.0, excused=True),
         ],
         readiness_checks=[ReadinessCheck(0, 10.0, 10.29)],
+        memory_peaks=[MemoryPeak(0, 96.0, 96.0)],
         lags=[(40.0, 9.0)],
     )  # of another moment: it widens nothing
 
@@ -151,6 +153,10 @@
             "a client that floods delays no other",
             lambda r: setattr(r.readiness_checks[0], "closed", 10.35),
         ),
+        (
+            "memory stays under its limit",
+            lambda r: setattr(r.memory_peaks[0], "used_mb", 96.1),
+        ),
         (
             "no request that was read is dropped",
             lambda r: add(
@@ -336,6 +342,23 @@
     assert "BROKEN  a client that floods delays no other" in done.stdout, done.stdout[-4000:]
 
 
+# The account of memory finds room for everything.
+BOUNDLESS_SHARES = """
+import sys
+if "serve" in sys.argv:
+    from claycross.requests import memory_account
+    memory_account.MemoryAccount.fits = lambda *_: True
+"""
+
+
+def test_gateways_whose_account_of_memory_never_refuses_are_found(tmp_path):
+    """Guards against the class of review case 7: what clients hold together has no bound."""
+    (tmp_path / "sitecustomize.py").write_text(BOUNDLESS_SHARES)
+    done = soak("--seeds", "1", PYTHONPATH=f"{tmp_path}{os.pathsep}{ROOT}")
+    assert done.returncode == 1, done.stdout[-4000:]
+    assert "BROKEN  memory stays under its limit" in done.stdout, done.stdout[-4000:]
+
+
 @pytest.mark.parametrize("seeds", ["x", "1-", "5-1", ""])
 def test_seeds_that_are_none_are_a_clear_error(seeds):
     done = soak("--seeds", seeds)
