Bytes that clients do not take are charged to the account of memory

Parts of streams that a client does not read were not charged, and a response that was discarded for others while its part waited for the client went on holding it for up to 20 s, given back but not freed. A whole answer of embeddings was charged by a holder without discard(), an AttributeError where it was the largest.

Ruled out: small events; a read of 16 KiB for each connection is bounded by the connections.

Cause: ResponseReader owns what is not forwarded, and nobody owned what was forwarded and not sent.

Change: Exchange.send_unread charges what the socket has no room for until it is sent, with the kind of responses; Exchange.discard resets the client's connection, which wakes the task that waits for it.

Why it works: the holder is what holds the bytes, and its discard ends the wait that holds them. A part that the system takes at once, as ordinary ones, is not charged and costs nothing.

--- a/claycross/frontends/exchange.py
+++ b/claycross/frontends/exchange.py
@@ -9,11 +9,12 @@
 from ..net.http1 import LAST_CHUNK, Head, encode_chunk, encode_response
 from ..net.loop import SECOND, Connection, ConnectionClosedError, EventLoop
 from ..requests.manager import Request
-from ..requests.memory_account import MemoryAccount
+from ..requests.memory_account import MemoryAccount, MemoryKind
 from .errors import ErrorContent, Headers
 from .inbox import Inbox
 
 SEND_TIMEOUT_NS = 20 * SECOND  # a client that takes no bytes for so long counts as gone
+UNREAD_COPIES = 2  # of a part of a stream while it is sent: the events, and their chunk
 
 
 @dataclass(slots=True)
@@ -85,12 +86,33 @@
     def send_bytes(self, data: bytes) -> None:
         """Send bytes of a streamed response; end the request if its client has disconnected."""
         try:
-            self.connection.send(data, SEND_TIMEOUT_NS)
+            sent_bytes = self.connection.send_some(data)
+            if sent_bytes < len(data):
+                self.send_unread(data, sent_bytes)
         except ConnectionClosedError:
             self.connection.close()
             if self.on_disconnect:
                 self.on_disconnect()
 
+    def send_unread(self, data: bytes, sent_bytes: int) -> None:
+        """Send the rest of the data, which is charged until the client has taken it.
+
+        Raises:
+            ConnectionClosedError: If the client has disconnected, or there is no memory for them.
+        """
+        memory = self.frontend.memory
+        size = UNREAD_COPIES * len(data)
+        if not memory.charge_by_discarding(MemoryKind.RESPONSES, self, size):
+            raise ConnectionClosedError("no memory for a response that the client does not read")
+        try:
+            self.connection.send(memoryview(data)[sent_bytes:], SEND_TIMEOUT_NS)
+        finally:
+            memory.give_back(MemoryKind.RESPONSES, self)
+
+    def discard(self) -> None:
+        """Free what the client has not taken; it learns from its connection that this broke."""
+        self.connection.abort()
+
     def reject(self, retry_after: int) -> None:
         """Respond that the request may be sent again after `retry_after` nanoseconds."""
         headers, body = self.frontend.format_error(503, "refused: it may be sent again")
