--- a/claycross/requests/attempt_checks.py
+++ b/claycross/requests/attempt_checks.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from .. import interface as i
 from ..invariant import invariant
 from . import preconditions
@@ -119,15 +121,12 @@
 
     def effective_attempts(
         self, request: Request, excluded: Attempt | None = None
-    ) -> list[preconditions.EarlierAttempt]:
+    ) -> Iterator[preconditions.EarlierAttempt]:
         """Return the attempts of a request that may have run, as far as this gateway knows."""
-        return [
-            preconditions.EarlierAttempt(
-                attempt.started_at, attempt.endpoint.zone, attempt.endpoint.cell
-            )
-            for attempt in request.attempts
-            if attempt.endpoint
-            and attempt is not excluded
-            and not attempt.connecting()
-            and preconditions.may_have_run(attempt.is_read, attempt.result)
-        ]
+        for attempt in request.attempts:
+            if attempt is excluded or not attempt.endpoint or attempt.connecting():
+                continue
+            if preconditions.may_have_run(attempt.is_read, attempt.result):
+                yield preconditions.EarlierAttempt(
+                    attempt.started_at, attempt.endpoint.zone, attempt.endpoint.cell
+                )
--- a/claycross/requests/preconditions.py
+++ b/claycross/requests/preconditions.py
@@ -115,10 +115,10 @@
 
 def window_end(spec: RequestClass, earlier: Iterable[EarlierAttempt]) -> int:
     """Return when engines stop deduplicating a request against earlier attempts; 0: no limit."""
-    first = next(iter(earlier), None)
-    if spec.effect != _WITH_IDEMPOTENCY_KEY or first is None:
+    if spec.effect != _WITH_IDEMPOTENCY_KEY:
         return 0
-    return first.started_at + spec.idempotency_key_ttl
+    first = next(iter(earlier), None)
+    return first.started_at + spec.idempotency_key_ttl if first else 0
 
 
 def check_retry(
@@ -132,8 +132,10 @@
 
     `margin`: time before the idempotency key's expiry at which it already counts as expired.
     """
+    if spec.effect == _IDEMPOTENT:
+        return None
     first = next(iter(earlier), None)
-    if spec.effect == _IDEMPOTENT or first is None:
+    if first is None:
         return None
     if spec.effect != _WITH_IDEMPOTENCY_KEY:
         return Denial.MAY_HAVE_RUN
