--- a/claycross/emulator/fault_scenario.py
+++ b/claycross/emulator/fault_scenario.py
@@ -233,7 +233,7 @@
         heard = [spare.port(socket.SOCK_DGRAM) for _ in range(f.gateways)]
         parties = [self.party(n) for n in range(f.gateways)]
         peers, everyone = net.do(lambda: net.udp(parties, heard))
-        self.fronts = []
+        self.fronts: list[int] = []
         for n in range(f.gateways):
             lists = net.endpoints(parties[n], n, self.engine_party)
             port = net.do(
--- a/claycross/emulator/soak_test.py
+++ b/claycross/emulator/soak_test.py
@@ -25,25 +25,23 @@
 import click
 import msgspec
 
-from .client import Connection, request
-from .demo import CLASSES
 from .fault_plan import FaultKind, PlannedFault, draw_plan, role_of
-from .fault_proxy import Fault, PortReservation
-from .fault_scenario import FaultScenario, ScenarioFile, play_load
+from .fault_proxy import Fault
+from .fault_scenario import ScenarioFile, play_load
 from .fleet_file import plain_fleet
 from .flooding_client import flood
 from .invariant_checkers import (
-    ClientRequest,
     EngineAttempt,
     MemoryPeak,
-    MisbehavingClient,
     ReservedState,
     RunRecord,
     all_hold,
     check_all,
 )
+from .soak_clients import SPANS, SoakClients
+from .soak_gateways import MEMORY_LIMIT_MB, GatewayProcesses
 from .soak_report import RunSummary, report
-from .system_faults import Field, SystemFaults
+from .system_faults import Field
 from .unfinished_clients import send_unfinished
 
 # Seconds before and after a gateway's death in which its requests are excused.
@@ -63,19 +61,15 @@
 CROWD = 480  # idle connections, about as many as a gateway takes
 # Of a role that hangs: times, share, seconds between.
 HANG_TIMES, HANG_SHARE, HANG_PAUSE = 3, 0.8, 0.4
-STAYS_FOR = 4.0  # seconds that a client goes on asking on one connection
 # Of the seeds: with short deadlines; with many engines and few gateways.
 SHORT_EVERY, LARGE_EVERY = 4, 10
 SHORT_DEADLINE = 1.2  # seconds
 LARGE_ENGINES, LARGE_GATEWAYS = 2000, 2
 READY_WITHIN = 10.0
-SOCKETS = 1024  # descriptors of each gateway
 KB, MB = 1024, 1_000_000  # bytes: of the system's figures, of the gateways' settings
-MEMORY_LIMIT_MB = 96  # of each gateway
 PACE_EVERY = 0.05  # seconds between looks how late the soak itself is
 QUIET = 1.5  # seconds without load, until what is held is looked at
 FRONT_NOTICES = 0.35  # seconds until clients send nothing more to a gateway that is not there
-SPANS = (1.0, 6.0)  # seconds that a client waits
 CALL_RATES = (
     (Field.ACCEPT, 300),
     (Field.SOCKET, 150),
@@ -97,63 +91,6 @@
 UNREACHED = (FaultKind.STALL, FaultKind.RELOAD, FaultKind.STOP, FaultKind.CALLS)
 
 
-class GatewayProcesses(FaultScenario):
-    """The processes of a soak: gateways with shims, doors and two addresses of discovery each."""
-
-    words = ("--trace",)
-
-    def __init__(self, folder: pathlib.Path, file: ScenarioFile, cooperation: str):
-        super().__init__(folder, file, not cooperation, cooperation)
-        self.shims = [SystemFaults(folder, f"g{n}") for n in range(file.gateways)]
-        self.doors: list[str] = []
-        self.listens: list[int] = []  # the gateways' own ports, without a shim's proxy before them
-        # Of each gateway: two ways to the one discovery.
-        self.discoveries: list[tuple[str, str]] = []
-        self.deadline = 0.0  # of all classes; 0: the usual ones
-
-    def settings(self, n: int) -> dict[str, object]:
-        made = super().settings(n)
-        if self.deadline:
-            for category in made["categories"]:
-                category |= {"give-up": int(self.deadline * 1e9), "slo": int(self.deadline * 0.5e9)}
-        return made
-
-    def environment(self, n: int) -> dict[str, str]:
-        return self.shims[n].environment()
-
-    def configured(
-        self, n: int, config: dict[str, object], spare: PortReservation
-    ) -> dict[str, object]:
-        party = self.party(n)
-        lists = self.net.endpoints(party, n, self.engine_party)
-        port = int(self.discovery.rpartition(":")[2])
-        other = self.net.do(lambda: self.net.tcp(party, frozenset(("discovery",)), port, lists))
-        self.discoveries.append((str(config["discovery"]), f"127.0.0.1:{other}"))
-        self.doors.append(f"127.0.0.1:{spare.port(socket.SOCK_STREAM)}")
-        self.listens.append(int(str(config["listen"]).rpartition(":")[2]))
-        limits = {"sockets": SOCKETS, "memory_mb": MEMORY_LIMIT_MB}
-        return config | {"admin": self.doors[n], "limits": limits}
-
-    def reload(self, n: int) -> None:
-        """The other address of discovery, and SIGHUP."""
-        path = self.folder / f"g{n}.json"
-        config = json.loads(path.read_text())
-        first, second = self.discoveries[n]
-        config["discovery"] = second if config["discovery"] == first else first
-        fresh = path.with_suffix(".fresh")
-        fresh.write_text(json.dumps(config))
-        fresh.replace(path)
-        self.gateways[n].process.send_signal(signal.SIGHUP)
-
-    def call(self, n: int, line: str) -> str:
-        """One call at a gateway's door; blank where nobody answers."""
-        host, port = self.doors[n].split(":")
-        with suppress(OSError), socket.create_connection((host, int(port)), timeout=2) as sock:
-            sock.sendall(line.encode() + b"\n")
-            return sock.makefile("rb").readline().decode().strip()
-        return ""
-
-
 class SoakTest:
     """One run."""
 
@@ -165,6 +102,7 @@
         self.kill_after = min(longest, LONGEST_COUNTED) + KILL_AFTER_DEADLINE
         self.planned: list[tuple[int, float, float]] = []  # gateway, SIGTERM, SIGKILL
         self.file, self.record, self.lock = file, RunRecord(), threading.Lock()
+        self.clients = SoakClients(self.fleet, file.seed, self.spans, self.record, self.pick)
         self.down: dict[int, float] = {}  # gateway -> since when clients know that it is not there
         self.excused: list[tuple[int, float, float]] = []  # gateway, from, to
         self.troubles: list[PlannedFault] = []
@@ -409,119 +347,6 @@
         rng.shuffle(there)
         return there[:3]
 
-    def client(self, number: int) -> None:
-        """One client: mostly well-behaved."""
-        rng = random.Random(f"{self.file.seed} client {number}")
-        behave = rng.choices(
-            (self.asks, self.leaves, self.pipelines, self.stays_half, self.junk, self.stays),
-            (68, 9, 6, 3, 2, 12),
-        )[0]
-        for n in self.pick(rng):
-            with suppress(ConnectionRefusedError):
-                if behave(rng, number, n):
-                    return
-
-    def draw_request(self, rng: random.Random, key: str, n: int) -> tuple[ClientRequest, bytes]:
-        cls = tuple(CLASSES)[rng.random() < 1 / 3]
-        span = rng.uniform(*self.spans)
-        body = b"x" * rng.randint(40_000, 250_000) if rng.random() < 0.05 else b'{"model":"chat"}'
-        text = request(key, cls, f"c{rng.randrange(60)}", rng.randint(300, 4000), span, body)
-        return ClientRequest(key, cls, n, time.monotonic(), span), text
-
-    def asks(self, rng: random.Random, number: int, n: int) -> bool:
-        return self.converse(rng, n, [f"{number:08x}a{self.file.seed:x}"])
-
-    def pipelines(self, rng: random.Random, number: int, n: int) -> bool:
-        return self.converse(rng, n, [f"{number:08x}{turn}{self.file.seed:x}" for turn in "abc"])
-
-    def converse(self, rng: random.Random, n: int, keys: list[str]) -> bool:
-        """Sends these requests at once and reads their answers; False: nobody listened there."""
-        with Connection(self.fleet.fronts[n], SPANS[1] + 25) as connection:
-            drawn = [self.draw_request(rng, key, n) for key in keys]
-            try:
-                connection.send(b"".join(text for _, text in drawn))
-                before = 0.0
-                for asked, _ in drawn:
-                    asked.behind = before
-                    answer = connection.answer()
-                    asked.how, asked.first, asked.delay = answer.how, answer.first, answer.delay
-                    asked.ended = before = time.monotonic()
-                    if answer.how == "broken":
-                        break
-            except OSError:
-                if connection.port in self.fleet.net.unreached:
-                    return False
-                next(a for a, _ in drawn if not a.how).how = "unanswered"
-        # What lies behind an answer that ends its connection was not read: a client sends it once
-        # more.
-        for asked in [a for a, _ in drawn if a.how]:
-            self.keep(asked)
-        return True
-
-    def stays(self, rng: random.Random, number: int, n: int) -> bool:
-        """One request after the other on one connection, also while its gateway stops."""
-        until, turn = time.monotonic() + STAYS_FOR, 0
-        with Connection(self.fleet.fronts[n], SPANS[1] + 25) as connection:
-            while time.monotonic() < until:
-                asked, text = self.draw_request(
-                    rng, f"{number:08x}f{turn:02x}{self.file.seed:x}", n
-                )
-                try:
-                    connection.send(text)
-                    answer = connection.answer()
-                except OSError:
-                    if turn == 0 and connection.port in self.fleet.net.unreached:
-                        return False
-                    asked.how = "crossed" if turn else "unanswered"
-                    self.keep(asked)
-                    return True
-                asked.how, asked.first, asked.delay = answer.how, answer.first, answer.delay
-                asked.ended = time.monotonic()
-                self.keep(asked)
-                turn += 1
-                if connection.will_close or answer.how == "broken":
-                    return True
-                time.sleep(rng.uniform(0, 0.2))
-        return True
-
-    def leaves(self, rng: random.Random, number: int, n: int) -> bool:
-        asked, text = self.draw_request(rng, f"{number:08x}d{self.file.seed:x}", n)
-        with Connection(self.fleet.fronts[n], 5) as connection, suppress(OSError):
-            connection.send(text)
-            time.sleep(rng.choice((0.0, rng.uniform(0, 0.2), rng.uniform(0, 1.5))))
-        asked.left, asked.how = time.monotonic(), "left"
-        self.keep(asked)
-        return True
-
-    def stays_half(self, rng: random.Random, number: int, n: int) -> bool:
-        """Half a request, and no more."""
-        _, text = self.draw_request(rng, f"{number:08x}e{self.file.seed:x}", n)
-        with Connection(self.fleet.fronts[n], 6) as connection, suppress(OSError):
-            self.send_bad(connection, text[: len(text) // 2], n)
-        return True
-
-    def junk(self, rng: random.Random, number: int, n: int) -> bool:
-        """Bytes that are no request."""
-        with Connection(self.fleet.fronts[n], 6) as connection, suppress(OSError):
-            self.send_bad(connection, rng.randbytes(200) + b"\r\n\r\n", n)
-        return True
-
-    def send_bad(self, connection: Connection, data: bytes, n: int) -> None:
-        """Bytes that are no whole request, until their error or the end of the connection."""
-        bad = MisbehavingClient(n, time.monotonic(), 0.0)
-        try:
-            connection.send(data)
-            connection.sock.recv(100)
-        finally:
-            bad.closed = time.monotonic()
-            with self.lock:
-                self.record.misbehaving_clients.append(bad)
-
-    def keep(self, asked: ClientRequest) -> None:
-        asked.closed = time.monotonic()
-        with self.lock:
-            self.record.client_requests.append(asked)
-
     # ------------------------------------------------------------ the run
 
     def run(self) -> dict[str, list[str]]:
@@ -537,7 +362,7 @@
         moments: list[tuple[float, Callable[[], None]]] = [
             (t.at, lambda t=t: self.inject(t)) for t in self.troubles
         ]
-        play_load(file, rng, self.zero, moments, self.client, SPANS[1] + 30)
+        play_load(file, rng, self.zero, moments, self.clients.run, SPANS[1] + 30)
         time.sleep(QUIET)
         self.audit()
         self.end_all()
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -17,7 +17,6 @@
 FILES_TO_SPLIT = {
     "claycross/emulator/fault_scenario.py": 571,
     "claycross/emulator/model.py": 656,
-    "claycross/emulator/soak_test.py": 649,
 }
 DETERMINISM_SCRIPT = """
 from tests.routing.router_harness import RouterHarness, MS
