--- a/claycross/gateway/endpoint_updates.py
+++ b/claycross/gateway/endpoint_updates.py
@@ -109,10 +109,9 @@
 
     # ------------------------------------------------------------ warm start
 
-    def capture_snapshot(self) -> dict[str, object]:
-        """Return the encoded warm-start snapshot of the chat router."""
-        router = self.parts.chat.router
-        return warm_start.capture(router, self.loop.now(), self.loop.clock_id).encode()
+    def capture_snapshot(self) -> warm_start.WarmStartSnapshot:
+        """Return the warm-start snapshot of the chat router."""
+        return warm_start.capture(self.parts.chat.router, self.loop.now(), self.loop.clock_id)
 
     def restore_snapshot(self) -> None:
         """Restore the previous process's snapshot into the chat router; later calls do nothing."""
--- a/claycross/recovery/administrative_ejection.py
+++ b/claycross/recovery/administrative_ejection.py
@@ -13,11 +13,12 @@
 from dataclasses import dataclass
 
 from ..interface import EndpointListUpdate, EngineEndpoint, EngineState, UpdateKind
+from .persisted_state import MAX_EJECTIONS, stored_id_bytes
 
 # Ids of engines ever listed; commands for an engine whose id was dropped are refused.
 MAX_REMEMBERED_IDS = 16_384
-# To take more engines out of service an operator drains the gateway, which is another command.
-MAX_EJECTIONS = 1_024
+# Of the ids of ejected engines in a state file.
+MAX_EJECTED_ID_BYTES = 2 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,12 +95,17 @@
             return CommandResult(True, f"{engine} is out already")
         if engine not in self.known:
             return CommandResult(False, f"{engine} was never listed")
-        if len(self.ejected) >= self.limit:
-            message = f"{self.limit} engines are out already; drain the gateway instead"
+        if len(self.ejected) >= self.limit or not self.fits_state_file(engine):
+            message = f"{len(self.ejected)} engines are out already; drain the gateway instead"
             return CommandResult(False, message)
         self.ejected[engine] = now
         return CommandResult(True, f"{engine} is out", self.update_for(engine), changed=True)
 
+    def fits_state_file(self, engine: str) -> bool:
+        """Return whether the ids of all ejected engines and this one can be stored."""
+        size = sum(map(stored_id_bytes, (engine, *self.ejected)))
+        return size <= MAX_EJECTED_ID_BYTES
+
     def enable(self, engine: str) -> CommandResult:
         """End the ejection of an engine."""
         if engine in self.ejected:
--- a/claycross/recovery/persisted_state.py
+++ b/claycross/recovery/persisted_state.py
@@ -1,10 +1,10 @@
 """The persisted state of a gateway: its stored form, its validation, and changes to it.
 
-The state holds the administrative ejections, whether the gateway is drained, and the warm-start
-snapshot. Ejections and drains last until an operator ends them and never expire. A state that is
-read back is valid only if it has this format, belongs to this gateway and deployment, and is within
-its bounds. This module does no I/O and reads no clock: the caller verifies the checksum and passes
-the time in.
+The state holds the administrative ejections and whether the gateway is drained; files of older
+versions also hold the warm-start snapshot. Ejections and drains last until an operator ends them
+and never expire. A state that is read back is valid only if it has this format, belongs to this
+gateway and deployment, and is within its bounds. This module does no I/O and reads no clock: the
+caller verifies the checksum and passes the time in.
 """
 
 from __future__ import annotations
@@ -16,7 +16,8 @@
 
 FORMAT = 2  # version of the stored form; other versions are rejected
 MAX_EJECTIONS = 1_024
-MAX_ID_LENGTH = 128
+MAX_STORED_UNIT_BYTES = 7  # of a UTF-16 unit in a state file, which is JSON within JSON: \\uXXXX
+MAX_SHOWN_LENGTH = 128  # of a name that is not this gateway's, in a message
 
 
 @dataclass(slots=True)
@@ -28,7 +29,7 @@
     ejected: dict[str, int] = field(default_factory=dict)  # engine -> Unix time in ns
     draining: bool = False
     writer: int = 0  # id of the process that wrote it; only informative
-    # Warm-start snapshot in its stored form; recovery/warm_start_snapshot.py validates it.
+    # The snapshot in a file of an older version, as stored; warm_start_snapshot.py validates it.
     snapshot: dict[str, Any] | None = None
 
 
@@ -110,7 +111,7 @@
     if fields.get("format") != FORMAT:
         raise InvalidStateError(f"format {fields.get('format')!r} instead of {FORMAT}")
     if fields.get("gateway") != gateway:
-        other_gateway = str(fields.get("gateway"))[:MAX_ID_LENGTH]
+        other_gateway = str(fields.get("gateway"))[:MAX_SHOWN_LENGTH]
         raise InvalidStateError(f"written by gateway {other_gateway!r}")
     if fields.get("deployment") != deployment:
         raise InvalidStateError("written under other settings")
@@ -130,11 +131,16 @@
             f"{len(ejected)} entries in bans, over the limit of {MAX_EJECTIONS}"
         )
     for engine, ejected_at in ejected.items():
-        has_id = isinstance(engine, str) and 0 < len(engine) <= MAX_ID_LENGTH
-        if not has_id or not is_whole(ejected_at):
+        if not isinstance(engine, str) or not engine or not is_whole(ejected_at):
             raise InvalidStateError("an entry in bans has no valid engine id or time")
 
 
+def stored_id_bytes(engine: str) -> int:
+    """Return how many bytes an engine's id takes in a state file at most."""
+    utf16_units = len(engine.encode("utf-16-le", "surrogatepass")) // 2
+    return utf16_units * MAX_STORED_UNIT_BYTES
+
+
 def is_whole(value: object) -> TypeGuard[int]:
     """Tell whether a JSON value is a whole number; Python's bool is a subclass of int."""
     return isinstance(value, int) and not isinstance(value, bool)
--- a/claycross/recovery/state_files.py
+++ b/claycross/recovery/state_files.py
@@ -22,7 +22,6 @@
 from dataclasses import replace
 from operator import attrgetter
 from pathlib import Path
-from typing import Any
 
 from .persisted_state import (
     InvalidStateError,
@@ -34,7 +33,8 @@
     validate,
 )
 
-MAX_FILE_BYTES = 1024 * 1024  # larger files are rejected unread
+# Larger files are neither written nor read. Files of older versions hold a snapshot as well.
+MAX_FILE_BYTES = 4 * 1024 * 1024
 MAX_LOGGED_FILES = 8  # unused files that are logged at the start
 MAX_NAME_LENGTH = 64  # of the gateway's name within a file name
 MAX_NUMBER_DIGITS = 18  # of a generation or process id in a file name; fits 64 bits
@@ -76,6 +76,10 @@
         """Return the name of a generation written by this process."""
         return f"{self.prefix}{generation}.{os.getpid()}{STATE_SUFFIX}"
 
+    def temporary_path_of(self, part: str) -> str:
+        """Return the path under which this process writes a file before it gets its name."""
+        return self.path_of(f"{self.prefix}{part}.{os.getpid()}{TEMPORARY_SUFFIX}")
+
     def path_of(self, name: str) -> str:
         """Return the path of a file in the folder."""
         return str(Path(self.folder) / name)
@@ -133,7 +137,8 @@
     def load_file(self, name: str) -> PersistedState | None:
         """Return the state in a file; log why and return None if it is not valid."""
         try:
-            return validate(unwrap(self.read(self.path_of(name))), self.gateway, self.deployment)
+            data = read_bounded(self.path_of(name), MAX_FILE_BYTES)
+            return validate(unwrap(data), self.gateway, self.deployment)
         except FileNotFoundError:
             pass  # another process has written a newer generation and removed this one
         except OSError as err:
@@ -142,30 +147,13 @@
             self.log_rejected(name, str(err))
         return None
 
-    def read(self, path: str) -> bytes:
-        """Return the bytes of a file.
-
-        Raises:
-            InvalidStateError: The file is larger than a state may be.
-        """
-        with open(path, "rb") as file:
-            size = os.fstat(file.fileno()).st_size
-            if size > MAX_FILE_BYTES:
-                raise InvalidStateError(f"{size} bytes, over the limit of {MAX_FILE_BYTES}")
-            return file.read(MAX_FILE_BYTES + 1)
-
     def log_rejected(self, name: str, reason: str) -> None:
         """Log that a file is not used, and why."""
         self.log(f"state-file-rejected path={self.path_of(name)} why={reason}")
 
     # ------------------------------------------------------------ writing
 
-    def update(
-        self,
-        held: PersistedState,
-        changes: Iterable[StateChange],
-        snapshot: dict[str, Any] | None,
-    ) -> PersistedState:
+    def update(self, held: PersistedState, changes: Iterable[StateChange]) -> PersistedState:
         """Apply changes to the newer of the stored state and the held one, and write the result.
 
         Returns:
@@ -181,7 +169,7 @@
                 apply_changes(base, changes),
                 written=time.time_ns(),
                 writer=os.getpid(),
-                snapshot=base.snapshot if snapshot is None else snapshot,
+                snapshot=None,
             )
             self.write(state)
             return state
@@ -203,9 +191,11 @@
             OSError: The write failed; the older generations are unchanged.
         """
         data = wrap(encode(state, self.gateway, self.deployment))
+        if len(data) > MAX_FILE_BYTES:
+            raise OSError(errno.EFBIG, os.strerror(errno.EFBIG))
         self.generation = self.highest_generation() + 1
         name = self.file_name(self.generation)
-        temporary = self.path_of(name.removesuffix(STATE_SUFFIX) + TEMPORARY_SUFFIX)
+        temporary = self.temporary_path_of(str(self.generation))
         try:
             write_synced(temporary, data)
             os.rename(temporary, self.path_of(name))
@@ -280,6 +270,19 @@
             return
 
 
+def read_bounded(path: str, limit: int) -> bytes:
+    """Return the bytes of a file.
+
+    Raises:
+        InvalidStateError: The file has more than `limit` bytes.
+    """
+    with open(path, "rb") as file:
+        size = os.fstat(file.fileno()).st_size
+        if size > limit:
+            raise InvalidStateError(f"{size} bytes, over the limit of {limit}")
+        return file.read(limit + 1)
+
+
 def write_synced(path: str, data: bytes) -> None:
     """Write a file and sync it to disk."""
     with open(path, "wb") as file:
--- a/claycross/recovery/state_store.py
+++ b/claycross/recovery/state_store.py
@@ -11,13 +11,14 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from functools import partial
 
 from ..interface import EndpointListUpdate
 from ..net.loop import MS, SECOND, EventLoop
 from . import warm_start
 from .administrative_ejection import AdministrativeEjections
 from .persisted_state import PersistedState, StateChange, apply_changes, is_newer
+from .snapshot_file import SnapshotFile
 from .state_files import StateFiles
 from .warm_start_snapshot import WarmStartSnapshot
 
@@ -41,7 +42,6 @@
 
     state: PersistedState | None = None  # as written; None if the write failed
     error: OSError | None = None
-    done: bool = False
 
 
 def ignore_updates(_: list[EndpointListUpdate]) -> None:
@@ -52,7 +52,7 @@
     """Ignore the change; the default of `StateStore.on_drain_changed`."""
 
 
-def no_snapshot() -> dict[str, Any] | None:
+def no_snapshot() -> WarmStartSnapshot | None:
     """Return no snapshot; the default of `StateStore.capture_snapshot`."""
     return None
 
@@ -83,7 +83,9 @@
         self.last_error = ""  # why the last write failed; blank if it succeeded
         self.on_ejections_changed: Callable[[list[EndpointListUpdate]], None] = ignore_updates
         self.on_drain_changed: Callable[[bool], None] = ignore_drain
-        self.capture_snapshot: Callable[[], dict[str, Any] | None] = no_snapshot
+        self.snapshot_file = SnapshotFile(files, log)
+        self.saving_snapshot = False
+        self.capture_snapshot: Callable[[], WarmStartSnapshot | None] = no_snapshot
 
     def start(self, saves_snapshots: bool) -> None:
         """Start to check for states of other processes and, if set, to save snapshots."""
@@ -98,21 +100,25 @@
         self.files.remove_temporary_files()
         self.files.log_unused_files()
         state = self.files.load()
-        if state is None:
-            return
-        self.state = state
-        self.ejections.adopt(state.ejected)
-        self.draining = state.draining
-        self.log_state("state-restored", state)
-        if state.snapshot:
-            self.load_snapshot(state.snapshot)
-
-    def load_snapshot(self, fields: dict[str, Any]) -> None:
-        """Decode a stored snapshot; log why if it is not valid."""
-        try:
-            self.snapshot = warm_start.decode(fields, self.loop.now(), self.loop.clock_id)
-        except warm_start.InvalidSnapshotError as err:
-            self.log(f"warm-start-rejected why={err}")
+        if state is not None:
+            self.state = state
+            self.ejections.adopt(state.ejected)
+            self.draining = state.draining
+            self.log_state("state-restored", state)
+        self.load_snapshot()
+
+    def load_snapshot(self) -> None:
+        """Decode the stored snapshot, or that in a state file of an older version.
+
+        Logs why one that is stored is not valid.
+        """
+        for fields in (self.snapshot_file.read(), self.state.snapshot):
+            if not fields or self.snapshot:
+                continue
+            try:
+                self.snapshot = warm_start.decode(fields, self.loop.now(), self.loop.clock_id)
+            except warm_start.InvalidSnapshotError as err:
+                self.log(f"warm-start-rejected why={err}")
 
     def adopt_newer_state(self) -> None:
         """Adopt a newer state that another process of this gateway has written."""
@@ -171,13 +177,28 @@
     def save_snapshot_periodically(self) -> None:
         """Save snapshots for the next process until this one stops."""
         if not self.stopping:
-            self.save()
+            self.save_snapshot()
             self.loop.call_later(SNAPSHOT_INTERVAL_NS, self.save_snapshot_periodically)
 
     def stop(self) -> None:
         """Save a last snapshot for the next process."""
         self.stopping = True
-        self.save()
+        self.save_snapshot()
+
+    def save_snapshot(self) -> None:
+        """Start to write a snapshot, unless the last one is still being written."""
+        if not self.saving_snapshot:
+            self.saving_snapshot = True
+            self.loop.spawn(self.write_snapshot)
+
+    def write_snapshot(self) -> None:
+        """Write a snapshot of the present measurements, if there are any to save."""
+        try:
+            snapshot = self.capture_snapshot()
+            if snapshot is not None:
+                self.run_in_thread(partial(self.snapshot_file.write, snapshot))
+        finally:
+            self.saving_snapshot = False
 
     def save(self) -> None:
         """Start to write the state with the pending changes, unless a write is in progress."""
@@ -232,24 +253,26 @@
             self.files.log_write_error(error)
 
     def write(self, changes: tuple[StateChange, ...]) -> Write:
-        """Make one write in a new thread, and wait for it without blocking the event loop."""
+        """Make one write, and return its outcome."""
         write = Write()
         held = self.state
-        snapshot = self.capture_snapshot()
 
         def update_files() -> None:
             try:
-                write.state = self.files.update(held, changes, snapshot)
+                write.state = self.files.update(held, changes)
             except OSError as err:
                 write.error = err
-            finally:
-                write.done = True
 
-        threading.Thread(target=update_files, daemon=True).start()
-        while not write.done:
-            self.loop.sleep(THREAD_POLL_INTERVAL_NS)
+        self.run_in_thread(update_files)
         return write
 
+    def run_in_thread(self, work: Callable[[], None]) -> None:
+        """Run blocking work in a new thread, and wait for its end beside the event loop."""
+        thread = threading.Thread(target=work, daemon=True)
+        thread.start()
+        while thread.is_alive():
+            self.loop.sleep(THREAD_POLL_INTERVAL_NS)
+
     def is_writing(self) -> bool:
         """Tell whether a write is in progress, for which a process that ends has to wait."""
-        return self.writing
+        return self.writing or self.saving_snapshot
--- a/claycross/recovery/warm_start.py
+++ b/claycross/recovery/warm_start.py
@@ -9,11 +9,16 @@
 
 from __future__ import annotations
 
+from itertools import islice
+from typing import TypeVar
+
 from ..routing.outlier_detection import TRUSTED_PACE_SAMPLES
 from ..routing.prefix_cache import CREDIT_LIFETIME_NS, Credit
 from ..routing.router import Router
 from .warm_start_snapshot import (
+    MAX_CREDITS,
     MAX_ENGINES,
+    MAX_ID_LENGTH,
     MAX_PREFIXES,
     MAX_SESSIONS,
     ROLES,
@@ -24,6 +29,8 @@
     decode,
 )
 
+Value = TypeVar("Value")
+
 __all__ = ["InvalidSnapshotError", "WarmStartSnapshot", "capture", "decode", "restore"]
 
 
@@ -42,7 +49,6 @@
         for engine in health.engines.values()
         if engine.samples
     }
-    prefixes = list(prefix_cache.prefixes.items())[-MAX_PREFIXES:]
     return WarmStartSnapshot(
         at=now,
         clock=clock,
@@ -50,12 +56,31 @@
         home_cache_share=router.home_cache_share,
         recent_paces={role: list(health.recent_paces[role]) for role in ROLES},
         rates={role: RateRecord(total, at) for role, (total, at) in health.rates.items()},
-        engines=dict(list(measured.items())[:MAX_ENGINES]),
-        sessions=dict(list(prefix_cache.sessions.items())[-MAX_SESSIONS:]),
-        prefixes={prefix: dict(readers) for prefix, readers in prefixes},
+        engines=newest(dict(islice(measured.items(), MAX_ENGINES)), MAX_ENGINES),
+        sessions=newest(prefix_cache.sessions, MAX_SESSIONS),
+        prefixes=newest_prefixes(prefix_cache.prefixes),
     )
 
 
+def newest(table: dict[str, Value], limit: int) -> dict[str, Value]:
+    """Return the last entries of a table whose names can be stored, at most `limit` of them."""
+    last = islice(reversed(table.items()), limit)
+    kept = [(name, value) for name, value in last if len(name) <= MAX_ID_LENGTH]
+    return dict(reversed(kept))
+
+
+def newest_prefixes(prefixes: dict[str, dict[str, Credit]]) -> dict[str, dict[str, Credit]]:
+    """Return the last prefixes with their readers, at most MAX_CREDITS of these in all."""
+    kept: dict[str, dict[str, Credit]] = {}
+    credits_left = MAX_CREDITS
+    for prefix, readers in reversed(newest(prefixes, MAX_PREFIXES).items()):
+        kept[prefix] = newest(readers, min(credits_left, MAX_ENGINES))
+        credits_left -= len(kept[prefix])
+        if not credits_left:
+            break
+    return dict(reversed(kept.items()))
+
+
 def restore(router: Router, snapshot: WarmStartSnapshot, now: int) -> int:
     """Restore a snapshot into a router that has its endpoint list.
 
--- a/claycross/recovery/warm_start_snapshot.py
+++ b/claycross/recovery/warm_start_snapshot.py
@@ -1,7 +1,7 @@
 """The warm-start snapshot: its fields, their JSON form, and their validation.
 
 A snapshot carries the measurements of one process's router to the next process of the same gateway.
-Its JSON form is part of the state file. Decoding checks the type and bounds of every field and
+Decoding checks the type and bounds of every field and
 raises InvalidSnapshotError with the name of the first invalid one. This module does no I/O and
 reads no clock.
 """
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
-from typing import Any, TypeGuard
+from dataclasses import dataclass, replace
+from itertools import islice
+from typing import Any, TypeGuard, TypeVar
 
 from ..routing.outlier_detection import RECENT_PACES_KEPT
 from ..routing.prefix_cache import Credit, SessionRecord
@@ -18,6 +19,7 @@
 MAX_ENGINES = 512
 MAX_SESSIONS = 1_024
 MAX_PREFIXES = 512
+MAX_CREDITS = 8_192  # of all prefixes
 MAX_RATES = 8
 MAX_ID_LENGTH = 128
 MAX_PREDICTION_ERROR = 100  # ratio of measured to predicted time; exclusive
@@ -28,6 +30,7 @@
 ROLES = ("read", "write", "both")
 
 Number = int | float
+Value = TypeVar("Value")
 
 
 class InvalidSnapshotError(Exception):
@@ -65,6 +68,19 @@
     sessions: dict[str, SessionRecord]
     prefixes: dict[str, dict[str, Credit]]  # prefix -> reader -> cached tokens
 
+    def is_empty(self) -> bool:
+        """Return whether it names no engine, session or prefix."""
+        return not (self.engines or self.sessions or self.prefixes)
+
+    def newest_half(self) -> WarmStartSnapshot:
+        """Return a snapshot without the older half of what is named in this one."""
+        return replace(
+            self,
+            engines=without_older_half(self.engines),
+            sessions=without_older_half(self.sessions),
+            prefixes=without_older_half(self.prefixes),
+        )
+
     def encode(self) -> dict[str, Any]:
         """Return the stored form, made of JSON types only."""
         return {
@@ -86,6 +102,11 @@
         }
 
 
+def without_older_half(table: dict[str, Value]) -> dict[str, Value]:
+    """Return the later entries of a table, the smaller half of them if their number is odd."""
+    return dict(islice(table.items(), (len(table) + 1) // 2, None))
+
+
 def decode(fields: object, now: int, clock: str) -> WarmStartSnapshot:
     """Decode a snapshot read back from a state file.
 
--- a/tests/recovery/test_state_files.py
+++ b/tests/recovery/test_state_files.py
@@ -4,28 +4,35 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from dataclasses import replace
 
 import pytest
-from hypothesis import given
+from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from claycross.config.settings import read_config
+from claycross.recovery.administrative_ejection import AdministrativeEjections
 from claycross.recovery.persisted_state import (
     FORMAT,
+    MAX_EJECTIONS,
+    ChangeKind,
     InvalidStateError,
     PersistedState,
+    StateChange,
     encode,
     is_newer,
     validate,
 )
-from claycross.recovery.state_files import StateFiles, unwrap, wrap
-from standins.servers import SETTINGS, Client, Engine, eventually
+from claycross.recovery.state_files import MAX_FILE_BYTES, StateFiles, unwrap, wrap
+from claycross.recovery.state_store import SNAPSHOT_INTERVAL_NS
+from standins.servers import SETTINGS, Client, Engine, chat, eventually, passes
 
 NOW_NS = 1_800_000_000 * 10**9
 SAVED_STATE = PersistedState(7, NOW_NS - 10**9, {"s-1": NOW_NS - 5 * 10**9}, True, 4242)
@@ -92,9 +99,11 @@
     ],
 )
 def test_any_changed_setting_makes_another_deployment(tmp_path, change):
-    def deployment(settings):
+    def deployment(settings_fields):
         (tmp_path / "c.json").write_text(
-            json.dumps({"settings": settings, "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2"})
+            json.dumps(
+                {"settings": settings_fields, "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2"}
+            )
         )
         return read_config(str(tmp_path / "c.json"), {}).deployment
 
@@ -154,6 +163,59 @@
     assert validate(unwrap(wrap(encode(state, "n0"))), "n0") == state
 
 
+# Ids of all lengths that a list of engines may have, among them such as JSON writes with escapes.
+ENGINE_IDS = st.text(min_size=1, max_size=40) | st.builds(
+    lambda text, count: text * count, st.text(min_size=1, max_size=3), st.integers(1, 200_000)
+)
+
+
+@settings(deadline=None, max_examples=60, suppress_health_check=[HealthCheck.too_slow])
+@given(st.lists(ENGINE_IDS, unique=True, max_size=12))
+def test_every_ejection_that_an_operator_was_granted_is_read_back(ids):
+    """Guards against a state that is written and then rejected: `ok` was said, and it is lost."""
+    ejections = AdministrativeEjections()
+    for engine in ids:
+        ejections.remember(engine)
+    granted = [engine for engine in ids if ejections.disable(engine, NOW_NS).succeeded]
+    with tempfile.TemporaryDirectory() as folder:
+        logged = []
+        assert StateFiles(folder, "n0", logged.append).save(
+            PersistedState(1, NOW_NS, ejections.state(), True, 1)
+        )
+        loaded = StateFiles(folder, "n0", logged.append).load()
+    assert loaded is not None and list(loaded.ejected) == sorted(granted) and not logged
+
+
+def test_as_many_ejections_as_are_granted_fit_into_a_file(tmp_path):
+    ejections = AdministrativeEjections()
+    for number in range(MAX_EJECTIONS):
+        engine = f"{number:05d}" + "\U0001f3b5" * 123
+        ejections.remember(engine)
+        ejections.disable(engine, 2**62)
+    assert len(ejections.ejected) > MAX_EJECTIONS // 2
+    state = PersistedState(2**62, 2**62, ejections.state(), True, 2**31)
+    assert StateFiles(str(tmp_path), "n0", print).save(state)
+    assert StateFiles(str(tmp_path), "n0", print).load() == state
+
+
+def test_a_state_that_could_not_be_read_back_is_not_written(tmp_path):
+    logged = []
+    files = StateFiles(str(tmp_path), "n0", logged.append)
+    assert files.save(SAVED_STATE)
+    assert not files.save(replace(SAVED_STATE, sequence=8, ejected={"x" * MAX_FILE_BYTES: 1}))
+    assert "state-write-failed" in logged[0] and files.load() == SAVED_STATE
+
+
+def test_a_file_of_an_older_version_with_a_large_snapshot_is_read(tmp_path):
+    """Older versions wrote the snapshot into the state file, which was over 1 MiB then."""
+    old = replace(SAVED_STATE, snapshot={"sessions": {"x" * 3_000_000: 1}})
+    assert StateFiles(str(tmp_path), "n0", print).save(old)
+    files = StateFiles(str(tmp_path), "n0", print)
+    assert files.load() == old
+    written = files.update(old, [StateChange(ChangeKind.DISABLE_ENGINE, "s-2", NOW_NS)])
+    assert written.ejected.keys() == {"s-1", "s-2"} and written.snapshot is None
+
+
 def test_temporary_file_of_a_killed_writer_is_removed(tmp_path):
     state_files = StateFiles(str(tmp_path), "n0", print)
     state_files.save(SAVED_STATE)
@@ -207,6 +269,37 @@
     listener.close()
 
 
+LONG_NAME = "音" * 40  # in UTF-8 as long as a name may be, with a number before it
+
+
+def test_ejection_survives_an_upgrade_beside_many_sessions_with_long_names(site, tmp_path):
+    """Guards against review case 8: the warm-start snapshot made the state file too large to read,
+    so that a change that was answered `ok` was lost in an upgrade.
+    """
+    (tmp_path / "tmp").mkdir()
+    gateway, listener = site_with_shared_listener(
+        site, tmp_path, Engine("p"), Engine("p", "p-out"), Engine("d")
+    )
+    with gateway.client() as client:
+        for number in range(1100):
+            key = f"{number:05d}{LONG_NAME}"
+            attributes = f"prompt_len=800,max_out=5,prefix={key},prefix_len=300"
+            assert chat(client, X_Route_Key=key, X_Attrs=attributes).answer().status == 200
+    old_process = gateway.process
+    assert gateway.call("set-down p-out").startswith("ok")
+    passes(SNAPSHOT_INTERVAL_NS / 10**9)
+    assert gateway.call("drain-on").startswith("ok")
+    new_process = gateway.start("log.new")
+    eventually(lambda: gateway.call("check").startswith("ok"))
+    assert "bans=1 drained=True" in gateway.log() and "rejected" not in gateway.log()
+    assert re.search(r"warm-start-restored engines=\d+ of=\d+ sessions=[1-9]", gateway.log())
+    assert "is out already" in gateway.call("set-down p-out")
+    for process in (old_process, new_process):
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(6) == 0
+    listener.close()
+
+
 def test_drain_started_during_an_upgrade_applies_to_the_new_process(site, tmp_path):
     (tmp_path / "tmp").mkdir()
     gateway, listener = site_with_shared_listener(site, tmp_path, Engine("p"), Engine("d"))
--- a/tests/recovery/test_warm_start.py
+++ b/tests/recovery/test_warm_start.py
@@ -8,6 +8,10 @@
 from hypothesis import strategies as st
 
 from claycross.recovery import warm_start
+from claycross.recovery.snapshot_file import MAX_FILE_BYTES, SnapshotFile, wrap_within
+from claycross.recovery.state_files import StateFiles, unwrap
+from claycross.recovery.warm_start_snapshot import MAX_CREDITS, MAX_SESSIONS
+from claycross.routing.prefix_cache import Credit, SessionRecord
 from tests.routing.router_harness import (
     MS,
     READERS,
@@ -101,6 +105,67 @@
     assert measured.router.prediction_error_quantiles == own_quantiles
 
 
+RECORDED_NAMES = st.text(min_size=1, max_size=3).map(lambda text: text * 60)
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.dictionaries(RECORDED_NAMES, RECORDED_NAMES, max_size=30),
+    st.dictionaries(RECORDED_NAMES, st.sets(RECORDED_NAMES, max_size=8), max_size=30),
+    st.integers(0, 60_000),
+)
+def test_a_snapshot_that_is_captured_fits_its_file_and_can_be_restored(sessions, prefixes, limit):
+    """Guards against a file that one process writes and the next one rejects (review case 8)."""
+    router = RouterHarness().router
+    index = router.prefix_cache
+    index.sessions = {name: SessionRecord(reader, 5, 7) for name, reader in sessions.items()}
+    index.prefixes = {
+        name: {reader: Credit(5, 7) for reader in readers} for name, readers in prefixes.items()
+    }
+    snapshot = warm_start.capture(router, 9, CLOCK_ID)
+    data = wrap_within(snapshot, limit)
+    assert len(data) <= limit or warm_start.decode(unwrap(data), 9, CLOCK_ID).is_empty()
+    restored = warm_start.decode(unwrap(data), 9, CLOCK_ID)
+    newest = list(snapshot.sessions)[len(snapshot.sessions) - len(restored.sessions) :]
+    assert set(restored.sessions) == set(newest)
+
+
+def test_a_capture_is_bounded_and_holds_what_was_used_last():
+    router = RouterHarness().router
+    index = router.prefix_cache
+    index.sessions = {f"s{number}": SessionRecord("r1", 5, 7) for number in range(3000)}
+    index.prefixes = {
+        f"p{number}": {f"r{reader}": Credit(5, 7) for reader in range(100)} for number in range(600)
+    }
+    snapshot = warm_start.capture(router, 9, CLOCK_ID)
+    assert list(snapshot.sessions) == [f"s{number}" for number in range(3000 - MAX_SESSIONS, 3000)]
+    assert sum(map(len, snapshot.prefixes.values())) == MAX_CREDITS
+    assert list(snapshot.prefixes) == [f"p{number}" for number in range(600 - 82, 600)]
+
+
+def test_failed_writes_of_a_snapshot_in_a_row_are_logged_once():
+    logged = []
+    file = SnapshotFile(StateFiles("/nowhere", "n0", logged.append), logged.append)
+    for _ in range(3):
+        file.write(warm_start.capture(RouterHarness().router, 9, CLOCK_ID))
+    assert len(logged) == 1 and "warm-start-write-failed" in logged[0]
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"{}", b"x" * (MAX_FILE_BYTES + 1)], ids=["empty", "no envelope", "too large"]
+)
+def test_a_snapshot_file_that_can_not_be_used_is_logged_and_replaced(tmp_path, data):
+    logged = []
+    file = SnapshotFile(StateFiles(str(tmp_path), "n0", logged.append), logged.append)
+    assert file.read() is None and not logged
+    (tmp_path / "claycross-n0.snapshot").write_bytes(data)
+    assert file.read() is None and "warm-start-rejected" in logged[0]
+    snapshot = warm_start.capture(RouterHarness().router, 9, CLOCK_ID)
+    file.write(snapshot)
+    assert warm_start.decode(file.read(), 9, CLOCK_ID) == snapshot and len(logged) == 1
+    assert [path.name for path in tmp_path.iterdir()] == ["claycross-n0.snapshot"]
+
+
 @pytest.mark.parametrize(
     ("corrupt", "reason"),
     [
