Requests behind one that is answered with an error get their responses

Ruled out: malformed framing; the requests were complete, and the parser stood at the next one.

Cause: Frontend.answer_error closed whenever bytes were buffered behind the request.

Change: the last response of a connection is told as everywhere (is_last_response). Errors in a row are delayed only where no request waits behind them, so that each is answered within 3 s.

Why it works: what was read is served in its turn, and a close comes only after the last response.

--- a/claycross/frontends/base.py
+++ b/claycross/frontends/base.py
@@ -233,10 +233,12 @@
     def answer_error(
         self, connection: Connection, inbox: Inbox, error: RequestError, previous_errors: int
     ) -> bool:
-        """Answer a malformed request; return whether to keep the connection.
+        """Answer a request with an error; return whether to keep the connection.
 
-        A client that repeats the request as soon as it has the response would take up many
-        iterations of the event loop: all error responses in a row but the first are delayed.
+        Requests that were read behind it get their responses, too. A client that repeats the
+        request as soon as it has the response would take up many iterations of the event loop: all
+        error responses in a row but the first are delayed, unless more requests wait behind them
+        or the connection is to end soon.
 
         Args:
             connection: The client's connection.
@@ -249,10 +251,11 @@
         self.manager.count_frontend_rejection(
             parser.head.get("x-priority-class") if parser.head else ""
         )
-        if previous_errors and error.status != TOO_MANY_REQUESTS:
+        may_delay = inbox.empty() and not self.draining
+        if previous_errors and may_delay and error.status != TOO_MANY_REQUESTS:
             self.set_state(connection, ClientState.REJECTED)
             self.loop.sleep(min(ERROR_DELAY_NS << (previous_errors - 1), MAX_ERROR_DELAY_NS))
-        close = not parser.head.keeps_alive() or self.draining or bool(parser.buffer)
+        close = not parser.head.keeps_alive() or self.is_last_response(inbox)
         self.send_error(connection, error, close)
         return not close
 
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -346,10 +346,15 @@
         self.file.close()
         self.sock.close()
 
-    def send(self, method, path, body=b"", **headers):
+    @staticmethod
+    def message(method, path, body=b"", **headers):
+        """The bytes of a request."""
         lines = [f"{method} {path} HTTP/1.1", "Host: origin.svc", f"Content-Length: {len(body)}"]
         lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
-        self.sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    def send(self, method, path, body=b"", **headers):
+        self.sock.sendall(self.message(method, path, body, **headers))
         return self
 
     def answer(self):
--- a/tests/frontends/test_embeddings.py
+++ b/tests/frontends/test_embeddings.py
@@ -251,6 +251,10 @@
         assert rejected.status == 429 and int(rejected["retry-after"]) >= 1
         assert rejected.json()["error"]["type"] == "rate_limit_error"
         assert gateway.chat(cls="licence").body == b"".join(EVENTS)
+    with Client(gateway.embeddings_address) as several:
+        message = Client.message("POST", EMBED[0], json.dumps(EMBED[1]).encode())
+        several.sock.sendall(message * 3)
+        assert [several.answer().status for _ in range(3)] == [429] * 3
     # More connections than allowed.
     extra_clients = [Client(gateway.embeddings_address) for _ in range(30)]
     assert gateway.chat(cls="licence").status == 200
--- a/tests/frontends/test_pipelining.py
+++ b/tests/frontends/test_pipelining.py
@@ -1,6 +1,8 @@
 """Pipelined requests: each has its own time limit and its own response."""
 
+import signal
 import threading
+import time
 
 import pytest
 from hypothesis import given
@@ -11,6 +13,7 @@
 
 REQUEST_TIMEOUT_MS = 6000
 WAIT_S = 2
+BAD_CLIENT_WITHIN_S = 3.0  # the pages' limit for the response to a malformed request
 # Longest timeout that an engine may get after that wait, with a tolerance of 150 ms.
 REMAINING_MS = REQUEST_TIMEOUT_MS - 1000 * WAIT_S + 150
 
@@ -69,6 +72,35 @@
         assert [client.answer().status, client.answer().status] == [200, 200]
 
 
+def test_requests_behind_one_that_is_answered_with_an_error_are_answered(site):
+    """Guards against a close over requests that were read: they got no answer, and were lost."""
+    gateway = site(Engine("p"), Engine("d"), release=True)
+    no_id = request("").replace(b"X-Request-ID: \r\n", b"")
+    with gateway.client() as client:
+        client.sock.sendall(no_id + request("second") + no_id + request("fourth") + no_id * 9)
+        sent_at = time.monotonic()
+        assert [client.answer().status for _ in range(4)] == [400, 200, 400, 200]
+        assert [client.answer().status for _ in range(9)] == [400] * 9
+        assert time.monotonic() - sent_at < BAD_CLIENT_WITHIN_S
+        client.sock.sendall(request("sixth"))
+        assert client.answer().status == 200
+
+
+def test_requests_behind_errors_are_answered_by_a_gateway_that_stops(site, writer):
+    gateway = site(Engine("p"), writer, release=True)
+    no_id = request("").replace(b"X-Request-ID: \r\n", b"")
+    with gateway.client() as client:
+        client.sock.sendall(request("first") + no_id * 6 + request("last"))
+        eventually(lambda: writer.asked)
+        gateway.process.send_signal(signal.SIGTERM)
+        eventually(lambda: " stopping " in gateway.log())
+        writer.go_on.set()
+        answers = [client.answer() for _ in range(8)]
+        assert [answer.status for answer in answers] == [200] + [400] * 6 + [200]
+        assert [answer["connection"] for answer in answers if answer["connection"]] == ["close"]
+    assert gateway.process.wait(5) == 0
+
+
 def test_time_that_bytes_waited_unread_counts_towards_the_timeout(site, writer):
     """More follows than is read ahead: the rest waits in the gateway's socket."""
     gateway = site(Engine("p"), writer, release=True)
