A test of entries that can't be read sets the next list before the message

Seen: test_an_entry_that_cannot_be_read_takes_none_of_the_others_with_it[spoilt1] failed once, beside another run of the suite: the old engine got the request.

Cause: the test's own race. The gateway asks for the full list 100 ms after the message; the test put that list in place only once it had seen the log line.

Change: the list is in place before the message. As strict, and one check more: the log says that the two good entries of the message were taken, which the test did not tell from the full list before.

--- a/tests/gateway/test_crossings.py
+++ b/tests/gateway/test_crossings.py
@@ -886,11 +886,13 @@
     old = Engine("p")
     s = site(old, Engine("d"))
     s.discovery.rev = 2
+    # The next watch, which begins soon after the message, gets this list.
+    s.discovery.targets = {e.uid: e.target() for e in (new, s.engines[1])}
     s.discovery.say(
         s.discovery.watches[0], False, [old.target("Terminating"), spoilt, new.target()]
     )
     eventually(lambda: "discovery-lost" in s.log())
-    s.discovery.targets = {e.uid: e.target() for e in (new, s.engines[1])}
+    assert "discovery rev=2 kind=changes entries=2" in s.log()
     serves_alone(s, new, old)
 
 
