--- a/claycross/discovery/etcd.py
+++ b/claycross/discovery/etcd.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import json
 from collections.abc import Callable
 from typing import Any
@@ -13,21 +14,31 @@
 from ..config.settings import EtcdConfig
 from ..net.address import Address
 from ..net.loop import SECOND, ConnectionClosedError, EventLoop
-from .watch import DiscoveryDataError, DiscoveryWatch, EndpointListener
+from .watch import (
+    DiscoveryDataError,
+    DiscoveryWatch,
+    EndpointListener,
+    SilentWatchError,
+)
 
-# etcd sends nothing while nothing changes, so only a long silence shows a dead connection.
-IDLE_TIMEOUT_NS = 10 * SECOND
+# etcd sends nothing while nothing changes: only a new watch shows that the connection is alive.
+IDLE_TIMEOUT_NS = 3 * SECOND
+MAX_LIST_TIMEOUT_NS = 10 * SECOND  # a large list may take long
+LIST_INTERVAL_NS = 10 * SECOND  # between two reads of the full list
 
 
 class EtcdWatch(DiscoveryWatch):
     """Watches the engines' keys, whose values have the form of discovery's own entries.
 
     A range request reads the full list, then a watch follows from the revision after it. A watch
-    that was compacted away, or that has been silent for long, starts again with the list.
+    that is silent is followed by another one from the revision that was reached, to which etcd
+    sends what the silent one may have missed. One that was compacted away, and any watch after
+    LIST_INTERVAL_NS, starts again with the list.
     """
 
     idle_timeout = IDLE_TIMEOUT_NS
     min_first_response_timeout = IDLE_TIMEOUT_NS
+    max_first_response_timeout = MAX_LIST_TIMEOUT_NS
 
     def __init__(
         self,
@@ -45,15 +56,25 @@
     def watch(self) -> None:
         """Read the list and follow its changes, which always ends in an exception."""
         address = self.address
-        revision = self.read_list(address)
-        create = {**self.keys, "start_revision": str(revision + 1)}
+        while address == self.address:
+            self.read_list(address)
+            listed_at = self.loop.now()
+            while address == self.address and self.loop.now() - listed_at < LIST_INTERVAL_NS:
+                with contextlib.suppress(SilentWatchError):
+                    self.follow(address)
+        raise ConnectionClosedError("discovery's address has changed")
+
+    def follow(self, address: Address) -> None:
+        """Follow the changes since the published list, which always ends in an exception."""
+        assert self.published is not None, "read_list() comes first"
+        create = {**self.keys, "start_revision": str(self.published[1] + 1)}
         body = json.dumps({"create_request": create}).encode()
         for value in self.values("POST", "/v3/watch", body):
             self.handle_value(value, address)
         raise ConnectionClosedError("the watch ended")
 
-    def read_list(self, address: Address) -> int:
-        """Read the full list and publish it unless it is known; return its revision."""
+    def read_list(self, address: Address) -> None:
+        """Read the full list and publish it unless it is known."""
         body = json.dumps(self.keys).encode()
         response = b"".join(self.values("POST", "/v3/kv/range", body))
         try:
@@ -66,7 +87,6 @@
             self.apply_message({"rev": revision, "all": True, "targets": targets}, address)
             self.published = address, revision
         self.reset_back_off()
-        return revision
 
     def handle_value(self, value: bytes, address: Address) -> None:
         """Publish the changes in one response of the watch."""
--- a/claycross/discovery/watch.py
+++ b/claycross/discovery/watch.py
@@ -49,6 +49,10 @@
 }
 
 
+class SilentWatchError(ConnectionClosedError):
+    """A watch that has sent values is silent for longer than it may be."""
+
+
 class DiscoveryDataError(Exception):
     """Discovery sent data that can't be parsed."""
 
@@ -196,6 +200,7 @@
 
     idle_timeout = IDLE_TIMEOUT_NS
     min_first_response_timeout = FIRST_RESPONSE_TIMEOUT_NS
+    max_first_response_timeout = MAX_FIRST_RESPONSE_TIMEOUT_NS
 
     def __init__(
         self,
@@ -225,7 +230,7 @@
         self.connections: dict[int, Connection] = {}
         self.polled_generation = -1  # the generation in which a poll is under way; -1: none is
         self.first_response_timeout = FirstResponseTimeout(
-            self.min_first_response_timeout, MAX_FIRST_RESPONSE_TIMEOUT_NS
+            self.min_first_response_timeout, self.max_first_response_timeout
         )
 
     def reset_back_off(self) -> None:
@@ -339,7 +344,8 @@
                 remaining = self.receive_deadline(requested_at, last_value_at) - self.loop.now()
                 if remaining <= 0:
                     has_timed_out_early = not last_value_at
-                    raise ConnectionClosedError("silent")
+                    error_type = ConnectionClosedError if has_timed_out_early else SilentWatchError
+                    raise error_type("silent")
                 data = self.receive(connection, remaining)
                 values = parser.feed(data) if data else []
                 if values:
--- a/tests/frontends/test_admin_api.py
+++ b/tests/frontends/test_admin_api.py
@@ -24,6 +24,7 @@
 
 TOKEN, KEY = "operator-token", "a-tenant-key-of-enough-characters"
 EMBED = ("/v1/embeddings", {"model": "e", "input": "tense drums"})
+TOLD_WITHIN_S = 6.0  # the pages' limit for a change that discovery has
 
 
 def base64_text(text):
@@ -31,19 +32,24 @@
 
 
 class Etcd(Server):
-    """A stand-in for etcd's JSON gateway: a range call, and a watch that stays open."""
+    """A stand-in for etcd's JSON gateway: a range call, and a watch that stays open.
+
+    A watch is sent the changes since its first revision. Those in `silent` are sent nothing more.
+    """
 
     prefix = "/claycross/engines/"
 
     def __init__(self):
         super().__init__()
         self.revision, self.kvs, self.watches, self.starts = 5, {}, [], []
+        self.lists, self.events, self.silent = 0, [], []
 
     def talk(self, wire):
         message = read_message(wire.file)
         request = json.loads(message.body)
         if message.start.split()[1] == "/v3/kv/range":
             assert base64.b64decode(request["range_end"]) == b"/claycross/engines0"
+            self.lists += 1
             kvs = [
                 {"key": base64_text(key), "value": base64_text(value)}
                 for key, value in self.kvs.items()
@@ -58,6 +64,9 @@
         self.starts.append(int(request["create_request"]["start_revision"]))
         wire.begin()
         self.say(wire, {"created": True})
+        missed = [event for revision, event in self.events if revision >= self.starts[-1]]
+        if missed:
+            self.say(wire, {"events": missed})
         self.watches.append(wire)
         wire.gone()
         self.watches.remove(wire)
@@ -89,8 +98,10 @@
                 }
             }
         )
+        self.events.append((self.revision, event))
         for wire in self.watches:
-            self.say(wire, {"events": [event]})
+            if wire not in self.silent:
+                self.say(wire, {"events": [event]})
 
 
 @pytest.fixture
@@ -123,6 +134,25 @@
         engine.close()
 
 
+def test_a_watch_on_etcd_that_falls_silent_is_noticed_in_time(site, etcd):
+    """Guards against a drain that is not heard of for the 10 s of an idle watch."""
+    drained, other, writer = Engine("p").start(), Engine("p").start(), Engine("d").start()
+    for engine in (drained, other, writer):
+        etcd.put(engine)
+    gateway = site(etcd=etcd)
+    etcd.silent = list(eventually(lambda: etcd.watches))
+    etcd.put(drained, "Terminating")
+    eventually(lambda: f"rev={etcd.revision}" in gateway.log(), within=TOLD_WITHIN_S)
+    asked = len(drained.asked)
+    for number in range(12):
+        assert gateway.chat(X_Route_Key=f"k{number}").status == 200
+    assert len(drained.asked) == asked and len(other.asked) == 12
+    assert "discovery-lost" not in gateway.log()  # silence is usual
+    assert etcd.lists == 1
+    for engine in (drained, other, writer):
+        engine.close()
+
+
 @pytest.mark.parametrize("failure", ["junk", "compacted", "cut", "bad value"])
 def test_a_watch_on_etcd_that_ends_is_restarted_with_a_new_list(site, etcd, failure):
     reader, writer = Engine("p").start(), Engine("d").start()
