Up to 4 MiB behind a request are kept, so that a larger backlog's FIN is seen at once

Seen: the close of a client with 4.1 MB of readiness checks was noticed after 1.2 s, with 3.5 MB of two-byte chunks after 1.6 s (one trial each): beyond 1 MiB what is read is parsed at once.

Change: a connection may have 4 MiB read ahead, still within the share of all connections. The tests that need more than is kept send 8 MB in place of 3.2; a case with 3.5 MB of small chunks is new.

--- a/claycross/frontends/read_ahead.py
+++ b/claycross/frontends/read_ahead.py
@@ -17,7 +17,7 @@
 READ_AHEAD_BYTES = 65_536  # read behind any request; more stays in the socket until it floods
 # Once so many bytes wait in the socket, the client's FIN could remain unseen behind them.
 FLOOD_THRESHOLD_BYTES = 16_384
-MAX_KEPT_BYTES = 1 << 20  # of one connection
+MAX_KEPT_BYTES = 4 << 20  # of one connection
 
 
 def may_read_ahead(
--- a/tests/frontends/test_client_end.py
+++ b/tests/frontends/test_client_end.py
@@ -95,6 +95,7 @@
     "12 large requests": requests_of(12, 200_000),
     "30,000 readiness checks": b"GET /-/ready HTTP/1.1\r\nHost: o\r\n\r\n" * 30_000,
     "a body in small chunks without an end": chunked_in_twos(125_000),
+    "bodies in small chunks": (chunked_in_twos(125_000) + b"0\r\n\r\n") * 4,
 }
 
 
@@ -152,7 +153,7 @@
     """What is read beyond the bound for one connection is rejected in order, and never runs."""
     reader, writer = DelayedReader(), Engine("d")
     gateway = site(reader, writer, release=True)
-    count = 16
+    count = 40
     with gateway.client() as client:
         client.sock.sendall(request("first"))
         eventually(lambda: reader.asked)
@@ -198,7 +199,7 @@
 def test_the_last_rejection_of_a_backlog_announces_the_end_of_a_stopping_gateway(site):
     reader, writer = DelayedReader(), Engine("d")
     gateway = site(reader, writer, release=True)
-    count = 16
+    count = 40
     with gateway.client() as client:
         client.sock.sendall(request("first"))
         eventually(lambda: reader.asked)
